--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+GO ?= go
+
+.PHONY: build demo test check path bench prove reference
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+demo:
+	$(GO) run ./cmd/comfreyvale dev -demo examples
+
+test:
+	$(GO) test -race ./...
+
+check:
+	@test -z "$$(gofmt -l .)" || { gofmt -l .; echo "gofmt: the files above need formatting"; exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+	$(GO) tool revive -set_exit_status -config revive.toml ./...
+
+path:
+	scripts/path
--- /dev/null
+++ b/cmd/comfreyvale-standin/main.go
@@ -0,0 +1,210 @@
+// Command comfreyvale-standin is the stand-ins for the platform and the upstreams, for tests and trials.
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"comfreyvale"
+	"comfreyvale/io/cvlistserver"
+	"comfreyvale/io/cvlogserver"
+	"comfreyvale/io/cvmemlist"
+	"comfreyvale/io/cvmemlog"
+	"comfreyvale/io/cvsample"
+	"comfreyvale/io/cvupstream"
+)
+
+// stopTime is how long requests in progress may take after a stop signal.
+const stopTime = 30 * time.Second
+
+// crashStatus is the exit status of an upstream that a request crashed.
+const crashStatus = 3
+
+func main() {
+	commander := subcommands.NewCommander(flag.CommandLine, "comfreyvale-standin")
+	commander.Register(commander.HelpCommand(), "")
+	commander.Register(&platformCommand{}, "")
+	commander.Register(&groupCommand{}, "")
+	commander.Register(&upstreamCommand{}, "")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	status := commander.Execute(ctx)
+	stop()
+	os.Exit(int(status))
+}
+
+// platformCommand serves the log and the VM list.
+type platformCommand struct {
+	log, list string
+}
+
+func (*platformCommand) Name() string     { return "platform" }
+func (*platformCommand) Synopsis() string { return "serve the log and the VM list" }
+func (*platformCommand) Usage() string {
+	return "platform -log ADDRESS -list ADDRESS\n  Example: comfreyvale-standin platform -log 127.0.0.1:7000 -list 127.0.0.1:7001\n"
+}
+
+// SetFlags defines the command's flags.
+func (c *platformCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.log, "log", "127.0.0.1:7000", "address of the log")
+	f.StringVar(&c.list, "list", "127.0.0.1:7001", "address of the VM list")
+}
+
+// Execute runs the command.
+func (c *platformCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	servers := []*http.Server{
+		{Addr: c.log, Handler: (&cvlogserver.Server{Log: &cvmemlog.Log{}}).Handler()},
+		{Addr: c.list, Handler: (&cvlistserver.Server{List: &cvmemlist.List{}}).Handler()},
+	}
+	return serve(ctx, servers)
+}
+
+// serve runs servers until the context ends.
+func serve(ctx context.Context, servers []*http.Server) subcommands.ExitStatus {
+	ended := make(chan error, len(servers))
+	for _, s := range servers {
+		go func() { ended <- s.ListenAndServe() }()
+	}
+	select {
+	case err := <-ended:
+		fmt.Fprintln(os.Stderr, "comfreyvale-standin: "+err.Error())
+		return subcommands.ExitFailure
+	case <-ctx.Done():
+	}
+	limit, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
+	for _, s := range servers {
+		if s.Shutdown(limit) != nil {
+			s.Close()
+		}
+	}
+	return subcommands.ExitSuccess
+}
+
+// groupCommand serves a group of upstreams in one process.
+type groupCommand struct {
+	group cvsample.Group
+	list  string
+	dcs   int
+}
+
+func (*groupCommand) Name() string     { return "group" }
+func (*groupCommand) Synopsis() string { return "serve a group of upstreams in one process" }
+func (*groupCommand) Usage() string {
+	return "group -name GROUP -count N -slots N -list URL\n  Example: comfreyvale-standin group -name listings -count 30 -slots 4 -list http://127.0.0.1:7001\n"
+}
+
+// SetFlags defines the command's flags.
+func (c *groupCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.group.Name, "name", "listings", "the group's name in the VM list")
+	f.IntVar(&c.group.Count, "count", 4, "number of upstreams")
+	f.IntVar(&c.group.Slots, "slots", 4, "requests that each runs at a time")
+	f.DurationVar(&c.group.ConnectTime, "connect", time.Millisecond, "time to open a connection")
+	f.DurationVar(&c.group.Distance, "distance", 0, "one-way network time")
+	f.Uint64Var(&c.group.Seed, "seed", 1, "seed of the upstreams' times")
+	f.IntVar(&c.dcs, "dataCentres", 3, "number of data centres")
+	f.StringVar(&c.list, "list", "http://127.0.0.1:7001", "URL of the VM list")
+}
+
+// Execute runs the command.
+func (c *groupCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	for i := range c.dcs {
+		c.group.DataCentres = append(c.group.DataCentres, fmt.Sprintf("dc-%d", i+1))
+	}
+	c.group.List = &cvmemlist.List{}
+	if err := c.group.Start(); err != nil {
+		fmt.Fprintln(os.Stderr, "comfreyvale-standin: "+err.Error())
+		return subcommands.ExitFailure
+	}
+	vms, _ := c.group.List.List(ctx)
+	for _, v := range vms {
+		if err := register(ctx, c.list, v); err != nil {
+			fmt.Fprintln(os.Stderr, "comfreyvale-standin: "+err.Error())
+			return subcommands.ExitFailure
+		}
+	}
+	<-ctx.Done()
+	limit, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
+	c.group.Stop(limit)
+	return subcommands.ExitSuccess
+}
+
+// register enters a VM into the VM list.
+func register(ctx context.Context, list string, vm comfreyvale.VM) error {
+	body, err := json.Marshal(map[string]any{"group": vm.Group(), "dataCentre": vm.DataCentre(), "address": vm.Address(), "leaving": vm.Leaving()})
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, list+"/vms/"+vm.Name(), bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+// upstreamCommand serves one upstream, which a request can crash.
+type upstreamCommand struct {
+	upstream cvupstream.Upstream
+	listen   string
+	group    string
+	dc       string
+	list     string
+}
+
+func (*upstreamCommand) Name() string     { return "upstream" }
+func (*upstreamCommand) Synopsis() string { return "serve one upstream in a process of its own" }
+func (*upstreamCommand) Usage() string {
+	return "upstream -name NAME -group GROUP -listen ADDRESS -list URL\n  Example: comfreyvale-standin upstream -name listings-1 -group listings -listen 127.0.0.1:7101 -list http://127.0.0.1:7001\n"
+}
+
+// SetFlags defines the command's flags.
+func (c *upstreamCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.upstream.Name, "name", "listings-1", "the upstream's name")
+	f.IntVar(&c.upstream.Slots, "slots", 4, "requests that run at a time")
+	f.DurationVar(&c.upstream.ConnectTime, "connect", time.Millisecond, "time to open a connection")
+	f.DurationVar(&c.upstream.Distance, "distance", 0, "one-way network time")
+	f.Uint64Var(&c.upstream.Seed, "seed", 1, "seed of the upstream's times")
+	f.StringVar(&c.group, "group", "listings", "the group's name in the VM list")
+	f.StringVar(&c.dc, "dataCentre", "dc-1", "the upstream's data centre")
+	f.StringVar(&c.listen, "listen", "127.0.0.1:0", "address to serve at")
+	f.StringVar(&c.list, "list", "http://127.0.0.1:7001", "URL of the VM list")
+}
+
+// Execute runs the command.
+func (c *upstreamCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	c.upstream.Crash = func() { os.Exit(crashStatus) }
+	listener, err := net.Listen("tcp", c.listen)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "comfreyvale-standin: "+err.Error())
+		return subcommands.ExitFailure
+	}
+	server := &http.Server{Handler: c.upstream.Handler(), ConnState: c.upstream.ConnState, ConnContext: c.upstream.ConnContext}
+	go server.Serve(listener)
+	if err := register(ctx, c.list, comfreyvale.NewVM(c.upstream.Name, c.group, c.dc, listener.Addr().String(), false)); err != nil {
+		fmt.Fprintln(os.Stderr, "comfreyvale-standin: "+err.Error())
+		return subcommands.ExitFailure
+	}
+	<-ctx.Done()
+	limit, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
+	if server.Shutdown(limit) != nil {
+		server.Close()
+	}
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/core/cvconfiguration/cvconfiguration.go
@@ -0,0 +1,62 @@
+// Package cvconfiguration is the accepted configuration at one generation.
+package cvconfiguration
+
+import (
+	"cmp"
+	"slices"
+
+	"comfreyvale/core/cvservice"
+)
+
+// Configuration is the set of services in force. It never changes; a change makes a new one.
+type Configuration struct {
+	generation int64
+	services   []*cvservice.Service
+}
+
+// New returns a configuration of a generation. The services with the longest path prefixes match first.
+func New(generation int64, services []*cvservice.Service) *Configuration {
+	ordered := slices.Clone(services)
+	slices.SortFunc(ordered, compare)
+	return &Configuration{generation: generation, services: ordered}
+}
+
+func compare(a, b *cvservice.Service) int {
+	if (a.Host() == "*") != (b.Host() == "*") {
+		if a.Host() == "*" {
+			return 1
+		}
+		return -1
+	}
+	if c := cmp.Compare(len(b.PathPrefix()), len(a.PathPrefix())); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Name(), b.Name())
+}
+
+// Generation is the log offset of the last accepted publication, or 0 for none.
+func (c *Configuration) Generation() int64 { return c.generation }
+
+// Services are all services, in the order in which they match.
+func (c *Configuration) Services() []*cvservice.Service { return c.services }
+
+// Match returns the service of a call, or false when there is none.
+func (c *Configuration) Match(host, path string) (*cvservice.Service, bool) {
+	for _, s := range c.services {
+		if s.Matches(host, path) {
+			return s, true
+		}
+	}
+	return nil, false
+}
+
+// Overlap returns two services that take the same calls, or false when there are none.
+func (c *Configuration) Overlap() (a, b *cvservice.Service, found bool) {
+	for i := 1; i < len(c.services); i++ {
+		a, b = c.services[i-1], c.services[i]
+		if a.Host() == b.Host() && a.PathPrefix() == b.PathPrefix() {
+			return a, b, true
+		}
+	}
+	return nil, nil, false
+}
--- /dev/null
+++ b/core/cvhome/cvhome.go
@@ -0,0 +1,243 @@
+// Package cvhome is the decision about keys at their home: each is granted to one holder within its window.
+package cvhome
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	"comfreyvale/core/cvwire"
+)
+
+// Home decides about the keys of one incarnation. It is not safe for concurrent use.
+//
+// A claim is decided in two steps: it is written to the journal, and granted once the journal holds it.
+type Home struct {
+	// Incarnation names the journal's writer.
+	Incarnation string
+	// BatchLimit is how many claims one journal record holds at most.
+	BatchLimit int
+
+	claims  map[string]*claim
+	grants  map[string]*claim
+	order   []*claim
+	queue   []*cvwire.Claim
+	flight  *cvwire.JournalRecord
+	records int64
+	sealed  bool
+	gaps    []gap
+}
+
+// claim is the last grant of one key.
+type claim struct {
+	key      string
+	grant    string
+	holder   string
+	digest   []byte
+	at       time.Time
+	window   time.Duration
+	released bool
+	durable  bool
+}
+
+// gap is a range of claims that were lost with their journal.
+type gap struct {
+	until    time.Time
+	evidence string
+	covers   func(key string) bool
+}
+
+func (h *Home) init() {
+	if h.claims == nil {
+		h.claims = make(map[string]*claim)
+		h.grants = make(map[string]*claim)
+	}
+}
+
+// Claim decides about a key. It returns nil while the claim waits for the journal; Committed tells of it then.
+// Immediate grants a key whose home is fixed in the key itself, without the journal.
+func (h *Home) Claim(now time.Time, request *cvwire.ClaimRequest, immediate bool) *cvwire.ClaimReply {
+	h.init()
+	if held := h.claims[request.GetKey()]; held != nil && !held.released && now.Before(held.at.Add(held.window)) {
+		return h.again(held, request)
+	}
+	if h.sealed && !immediate {
+		return &cvwire.ClaimReply{Verdict: cvwire.ClaimReply_UNAVAILABLE, Condition: "the home's journal was closed"}
+	}
+	if evidence, lost := h.lost(now, request.GetKey()); lost && !immediate {
+		return &cvwire.ClaimReply{Verdict: cvwire.ClaimReply_UNKNOWN, Condition: evidence}
+	}
+	c := h.put(now, request)
+	if immediate {
+		c.durable = true
+		return &cvwire.ClaimReply{Verdict: cvwire.ClaimReply_GRANTED}
+	}
+	h.queue = append(h.queue, c.message())
+	return nil
+}
+
+// again answers a claim of a key that is held.
+func (h *Home) again(held *claim, request *cvwire.ClaimRequest) *cvwire.ClaimReply {
+	if !bytes.Equal(held.digest, request.GetDigest()) {
+		return &cvwire.ClaimReply{Verdict: cvwire.ClaimReply_REUSED}
+	}
+	if held.grant == request.GetGrant() {
+		if held.durable {
+			return &cvwire.ClaimReply{Verdict: cvwire.ClaimReply_GRANTED}
+		}
+		return nil
+	}
+	return &cvwire.ClaimReply{Verdict: cvwire.ClaimReply_HELD, Holder: held.holder, Grant: held.grant}
+}
+
+func (h *Home) lost(now time.Time, key string) (string, bool) {
+	for _, g := range h.gaps {
+		if now.Before(g.until) && g.covers(key) {
+			return g.evidence, true
+		}
+	}
+	return "", false
+}
+
+func (h *Home) put(now time.Time, request *cvwire.ClaimRequest) *claim {
+	c := &claim{
+		key: request.GetKey(), grant: request.GetGrant(), holder: request.GetHolder(), digest: request.GetDigest(),
+		at: now, window: time.Duration(request.GetWindowMs()) * time.Millisecond,
+	}
+	h.store(c)
+	return c
+}
+
+func (h *Home) store(c *claim) {
+	h.claims[c.key] = c
+	h.grants[c.grant] = c
+	h.order = append(h.order, c)
+}
+
+func (c *claim) message() *cvwire.Claim {
+	return &cvwire.Claim{
+		Key: c.key, Grant: c.grant, Holder: c.holder, Digest: c.digest,
+		AtUnixMs: c.at.UnixMilli(), WindowMs: c.window.Milliseconds(), Released: c.released,
+	}
+}
+
+// Release notes that a grant was never dispatched and never will be. The key may be granted anew.
+func (h *Home) Release(grant string) {
+	h.init()
+	c := h.grants[grant]
+	if c == nil || c.released {
+		return
+	}
+	c.released = true
+	h.queue = append(h.queue, c.message())
+}
+
+// Batch returns the next journal record to append, or nil when there is none or one is under way.
+func (h *Home) Batch() *cvwire.JournalRecord {
+	if h.flight != nil || len(h.queue) == 0 || h.sealed {
+		return nil
+	}
+	size := min(len(h.queue), max(h.BatchLimit, 1))
+	h.records++
+	h.flight = &cvwire.JournalRecord{Id: fmt.Sprintf("%s/%d", h.Incarnation, h.records), Claims: h.queue[:size:size]}
+	h.queue = h.queue[size:]
+	return h.flight
+}
+
+// Committed says that the journal holds the record under way, before any seal. It returns the grants that now count.
+func (h *Home) Committed() []string {
+	if h.flight == nil || h.sealed {
+		return nil
+	}
+	var granted []string
+	for _, m := range h.flight.GetClaims() {
+		c := h.grants[m.GetGrant()]
+		if c == nil || c.released || m.GetReleased() {
+			continue
+		}
+		c.durable = true
+		granted = append(granted, c.grant)
+	}
+	h.flight = nil
+	return granted
+}
+
+// Seal says that the journal was closed by another process. Claims that were not committed will never be granted.
+func (h *Home) Seal() {
+	h.sealed = true
+	h.flight = nil
+	h.queue = nil
+}
+
+// Sealed says whether the journal was closed.
+func (h *Home) Sealed() bool { return h.sealed }
+
+// Waiting says whether a grant still waits for the journal.
+func (h *Home) Waiting(grant string) bool {
+	c := h.grants[grant]
+	return c != nil && !c.durable && !c.released && !h.sealed
+}
+
+// Import takes over claims of an earlier home. A grant that any home knows to be released is released.
+func (h *Home) Import(now time.Time, claims []*cvwire.Claim) {
+	h.init()
+	for _, m := range claims {
+		h.importOne(now, m)
+	}
+}
+
+func (h *Home) importOne(now time.Time, m *cvwire.Claim) {
+	if known := h.grants[m.GetGrant()]; known != nil {
+		known.released = known.released || m.GetReleased()
+		return
+	}
+	at := time.UnixMilli(m.GetAtUnixMs())
+	if at.After(now) {
+		at = now
+	}
+	c := &claim{
+		key: m.GetKey(), grant: m.GetGrant(), holder: m.GetHolder(), digest: m.GetDigest(),
+		at: at, window: time.Duration(m.GetWindowMs()) * time.Millisecond, released: m.GetReleased(), durable: true,
+	}
+	held := h.claims[c.key]
+	h.store(c)
+	if held != nil && !held.released && c.released {
+		h.claims[c.key] = held
+	}
+}
+
+// Lose notes that claims of an earlier home are lost: keys that it covers and that are not known may have run.
+func (h *Home) Lose(until time.Time, evidence string, covers func(key string) bool) {
+	h.gaps = append(h.gaps, gap{until: until, evidence: evidence, covers: covers})
+}
+
+// Handover returns the claims of the keys that now belong to another home, those that wait for the journal included.
+func (h *Home) Handover(now time.Time, belongs func(key string) bool) []*cvwire.Claim {
+	var claims []*cvwire.Claim
+	for _, c := range h.order {
+		if now.Before(c.at.Add(c.window)) && belongs(c.key) {
+			claims = append(claims, c.message())
+		}
+	}
+	return claims
+}
+
+// Expire forgets the claims whose windows have passed.
+func (h *Home) Expire(now time.Time) {
+	kept := h.order[:0]
+	for _, c := range h.order {
+		if now.Before(c.at.Add(c.window)) {
+			kept = append(kept, c)
+			continue
+		}
+		delete(h.grants, c.grant)
+		if h.claims[c.key] == c {
+			delete(h.claims, c.key)
+		}
+	}
+	clear(h.order[len(kept):])
+	h.order = kept
+}
+
+// Len is the number of claims remembered.
+func (h *Home) Len() int { return len(h.order) }
--- /dev/null
+++ b/io/cvadmin/cvadmin.go
@@ -0,0 +1,110 @@
+// Package cvadmin is the HTTP surface toward operators.
+package cvadmin
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"comfreyvale"
+	"comfreyvale/core/cvstatus"
+	"comfreyvale/core/cvwire"
+	"comfreyvale/io/cvmetrics"
+)
+
+// Admin answers operators.
+type Admin struct {
+	// Ready says whether the balancer takes calls, and why not.
+	Ready func() (reason string, ready bool)
+	// Status describes the balancer.
+	Status func() cvstatus.Status
+	// Checkpoint is the configuration in force.
+	Checkpoint func() *cvwire.Checkpoint
+	// Lift ends a quarantine and returns whether there was one.
+	Lift func(fingerprint string) bool
+	// Recorder holds the decisions that hurt callers.
+	Recorder comfreyvale.Recorder
+	// Metrics counts.
+	Metrics *cvmetrics.Metrics
+}
+
+// decision is a decision as operators' programs read it.
+type decision struct {
+	At        time.Time `json:"at"`
+	Request   string    `json:"request"`
+	Service   string    `json:"service"`
+	Upstream  string    `json:"upstream,omitempty"`
+	Cause     string    `json:"cause"`
+	Condition string    `json:"condition,omitempty"`
+	Setting   string    `json:"setting,omitempty"`
+	Value     string    `json:"value,omitempty"`
+	File      string    `json:"file,omitempty"`
+	Line      int       `json:"line,omitempty"`
+	Revision  string    `json:"revision,omitempty"`
+	Author    string    `json:"author,omitempty"`
+}
+
+// Handler returns the HTTP handler.
+func (a *Admin) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ready", a.ready)
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { reply(w, a.Status()) })
+	mux.HandleFunc("GET /explain", a.explain)
+	mux.HandleFunc("GET /configuration", a.configuration)
+	mux.HandleFunc("DELETE /quarantines/{fingerprint}", a.lift)
+	mux.Handle("GET /metrics", a.Metrics.Handler())
+	return mux
+}
+
+func (a *Admin) ready(w http.ResponseWriter, _ *http.Request) {
+	reason, ready := a.Ready()
+	if !ready {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	reply(w, map[string]bool{"ready": true})
+}
+
+func (a *Admin) explain(w http.ResponseWriter, r *http.Request) {
+	subject := r.URL.Query().Get("subject")
+	if subject == "" {
+		http.Error(w, "subject: is missing, allowed is a request id, an upstream or a service", http.StatusBadRequest)
+		return
+	}
+	found := []decision{}
+	for _, d := range a.Recorder.Explain(subject) {
+		s := d.Setting()
+		found = append(found, decision{
+			d.At(), d.Request(), d.Service(), d.Upstream(), string(d.Cause()), d.Condition(),
+			s.Path(), s.Value(), s.File(), s.Line(), s.Revision(), s.Author(),
+		})
+	}
+	reply(w, found)
+}
+
+func (a *Admin) configuration(w http.ResponseWriter, _ *http.Request) {
+	body, err := proto.Marshal(a.Checkpoint())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/x-protobuf")
+	// The status line is out, so that a failed write only concerns the connection.
+	_, _ = w.Write(body)
+}
+
+func (a *Admin) lift(w http.ResponseWriter, r *http.Request) {
+	if !a.Lift(r.PathValue("fingerprint")) {
+		http.Error(w, "there is no such quarantine", http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func reply(w http.ResponseWriter, answer any) {
+	w.Header().Set("Content-Type", "application/json")
+	// The status line is out, so that a failed write only concerns the connection.
+	_ = json.NewEncoder(w).Encode(answer)
+}
--- /dev/null
+++ b/io/cvbalancer/cvbalancer.go
@@ -0,0 +1,265 @@
+// Package cvbalancer is one balancer process: it joins the decisions with the network.
+package cvbalancer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
+
+	"comfreyvale"
+	"comfreyvale/core/cvcall"
+	"comfreyvale/core/cvcauses"
+	"comfreyvale/core/cvconfiguration"
+	"comfreyvale/core/cvfault"
+	"comfreyvale/core/cvservice"
+	"comfreyvale/io/cvadmin"
+	"comfreyvale/io/cvclaims"
+	"comfreyvale/io/cvfollower"
+	"comfreyvale/io/cvgateway"
+	"comfreyvale/io/cvlocalhomes"
+	"comfreyvale/io/cvmetrics"
+	"comfreyvale/io/cvrunner"
+	"comfreyvale/io/cvsettings"
+	"comfreyvale/io/cvtable"
+)
+
+const (
+	// headerTime is how long a caller may take to send a request's head.
+	headerTime = 5 * time.Second
+	// idleTime is how long an unused connection of a caller is kept.
+	idleTime = 2 * time.Minute
+	// maxHeaderBytes is the size of the largest head of a request.
+	maxHeaderBytes = 64 << 10
+	// tickTime is the time between two looks at what only the passing of time changes.
+	tickTime = 20 * time.Millisecond
+	// rememberedDecisions is how many decisions can be explained.
+	rememberedDecisions = 20000
+)
+
+// fault is the error type of this package.
+type fault struct{ cvfault.Fault }
+
+func fail(operation string, kind comfreyvale.Kind, cause error) error {
+	return fault{cvfault.New(operation, kind, cause)}
+}
+
+// Balancer is one process on one entry VM.
+type Balancer struct {
+	// Settings are the VM's own.
+	Settings *cvsettings.Settings
+	// Log is the platform's log.
+	Log comfreyvale.Log
+	// VMList is the platform's list of VMs.
+	VMList comfreyvale.VMList
+	// Logger takes lines for changes of state.
+	Logger log.Interface
+	// Tracer makes spans.
+	Tracer trace.Tracer
+	// Policy makes the pickers; nil takes the default policy.
+	Policy func(*cvservice.Service) comfreyvale.Picker
+
+	process   string
+	metrics   *cvmetrics.Metrics
+	causes    *cvcauses.Causes
+	recorder  *recorder
+	table     *cvtable.Table
+	follower  *cvfollower.Follower
+	claims    *cvclaims.Claims
+	gateway   *cvgateway.Gateway
+	memory    *semaphore.Weighted
+	listed    atomic.Bool
+	stopping  atomic.Bool
+	listState string
+}
+
+// recorder keeps decisions and counts them.
+type recorder struct {
+	*cvcauses.Causes
+	metrics *cvmetrics.Metrics
+}
+
+// Record keeps a decision and counts it.
+func (r *recorder) Record(now time.Time, decision comfreyvale.Decision) {
+	r.metrics.Decided(decision.Service(), decision.Cause())
+	r.Causes.Record(now, decision)
+}
+
+// Run serves until the context ends, then stops in order.
+func (b *Balancer) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", b.Settings.Listen())
+	if err != nil {
+		return fail("listen", comfreyvale.KindUnavailable, err)
+	}
+	operators, err := net.Listen("tcp", b.Settings.Admin())
+	if err != nil {
+		callers.Close()
+		return fail("listen", comfreyvale.KindUnavailable, err)
+	}
+	b.build()
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, background := errgroup.WithContext(background)
+	group.Go(func() error { return b.follower.Run(background) })
+	group.Go(func() error { return b.pollVMs(background) })
+	group.Go(func() error { return b.tick(background) })
+	admin := &http.Server{Handler: b.admin().Handler(), ReadHeaderTimeout: headerTime}
+	group.Go(func() error { return ended(admin.Serve(operators)) })
+	server := b.callerServer()
+	group.Go(func() error { return ended(b.serve(server, callers)) })
+	select {
+	case <-ctx.Done():
+	case <-background.Done():
+	}
+	b.stop(server)
+	admin.Close()
+	stop()
+	return group.Wait()
+}
+
+// ended turns the ordinary end of a server into no error.
+func ended(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fail("serve", comfreyvale.KindUnavailable, err)
+}
+
+func (b *Balancer) build() {
+	b.process = newProcess(b.Settings.VM(), time.Now())
+	b.metrics = cvmetrics.New()
+	b.causes = &cvcauses.Causes{Limit: rememberedDecisions}
+	b.recorder = &recorder{Causes: b.causes, metrics: b.metrics}
+	b.memory = semaphore.NewWeighted(b.Settings.AnswerMemory())
+	b.table = &cvtable.Table{Policy: b.Policy}
+	b.follower = &cvfollower.Follower{Log: b.Log, Metrics: b.metrics, Logger: b.Logger, Changed: b.changed}
+	b.claims = &cvclaims.Claims{Process: b.process, Homes: &cvlocalhomes.Homes{}, AnswerBudget: b.Settings.ReplayMemory(), Metrics: b.metrics}
+	runner := &cvrunner.Runner{
+		Recorder: b.recorder, Tracer: b.Tracer, Memory: b.memory,
+		Draining: b.draining, Died: b.died, Barred: b.barred,
+	}
+	b.gateway = &cvgateway.Gateway{
+		Find: b.table.Find, Quarantined: b.quarantined, Settled: b.settled, NewKeys: b.newKeys,
+		Runner: runner, Claims: b.claims, Recorder: b.recorder, Metrics: b.metrics, Tracer: b.Tracer,
+	}
+}
+
+func (b *Balancer) changed(c *cvconfiguration.Configuration) { b.table.SetConfiguration(time.Now(), c) }
+
+func (b *Balancer) draining(service, upstream string) {
+	if d := b.table.Dispatcher(service); d != nil && d.Drain(time.Now(), upstream) {
+		b.metrics.Changed("draining")
+		b.Logger.WithFields(log.Fields{"service": service, "upstream": upstream}).Info("upstream draining")
+	}
+}
+
+func (b *Balancer) died(*cvcall.Call, string) {}
+
+func (b *Balancer) barred(*cvcall.Call) bool { return false }
+
+func (b *Balancer) quarantined(time.Time, *cvcall.Call) (string, bool) { return "", false }
+
+func (b *Balancer) settled(*cvcall.Call) {}
+
+func (b *Balancer) newKeys(int) []string { return nil }
+
+func (b *Balancer) callerServer() *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler: b.gateway, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeaderBytes, Protocols: protocols,
+	}
+}
+
+func (b *Balancer) serve(server *http.Server, listener net.Listener) error {
+	b.Logger.WithFields(log.Fields{"vm": b.Settings.VM(), "process": b.process, "listen": b.Settings.Listen()}).Info("serving")
+	if b.Settings.Certificate() != "" {
+		return server.ServeTLS(listener, b.Settings.Certificate(), b.Settings.Key())
+	}
+	return server.Serve(listener)
+}
+
+// pollVMs keeps the list of upstreams and balancers.
+func (b *Balancer) pollVMs(ctx context.Context) error {
+	for ctx.Err() == nil {
+		vms, err := b.VMList.List(ctx)
+		if err == nil {
+			b.listed.Store(true)
+			b.setVMs(vms)
+		}
+		b.noteList(err)
+		pause(ctx, b.Settings.VMListPoll())
+	}
+	return nil
+}
+
+func (b *Balancer) setVMs(vms []comfreyvale.VM) {
+	b.table.SetVMs(time.Now(), vms, 1)
+}
+
+func (b *Balancer) noteList(err error) {
+	state := "reading"
+	if err != nil {
+		state = "unreachable"
+	}
+	if state != b.listState {
+		b.listState = state
+		b.metrics.Changed("vmList")
+		b.Logger.WithField("state", state).Info("VM list")
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+func (b *Balancer) tick(ctx context.Context) error {
+	ticker := time.NewTicker(tickTime)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			b.table.Tick(now)
+			b.claims.Expire(now)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// stop ends in order: not ready at once, new calls for the lag, then the calls in progress.
+func (b *Balancer) stop(server *http.Server) {
+	b.stopping.Store(true)
+	b.gateway.Stop()
+	b.Logger.WithField("inFlight", b.gateway.InFlight()).Info("stopping")
+	time.Sleep(b.Settings.StopLag())
+	ctx, cancel := context.WithTimeout(context.Background(), b.Settings.StopLimit())
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		for range b.gateway.InFlight() {
+			b.metrics.LimitUsed()
+		}
+		b.Logger.WithField("cut", b.gateway.InFlight()).Warn("stop limit used")
+		server.Close()
+	}
+	b.Logger.Info("stopped")
+}
+
+func (b *Balancer) admin() *cvadmin.Admin {
+	return &cvadmin.Admin{
+		Ready: b.ready, Status: b.status, Checkpoint: b.follower.Checkpoint, Lift: b.lift,
+		Recorder: b.recorder, Metrics: b.metrics,
+	}
+}
--- /dev/null
+++ b/io/cvbalancer/status.go
@@ -0,0 +1,60 @@
+package cvbalancer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"comfreyvale/core/cvservicestatus"
+	"comfreyvale/core/cvstatus"
+)
+
+// newProcess names a process by its VM and start time, so that no two processes share a name.
+func newProcess(vm string, now time.Time) string {
+	return fmt.Sprintf("%s.%x%04x", vm, now.UnixMilli(), rand.N(1<<16))
+}
+
+// ready says whether new calls should come here, and why not.
+func (b *Balancer) ready() (string, bool) {
+	switch {
+	case b.stopping.Load():
+		return "stopping", false
+	case !b.listed.Load():
+		return "the VM list was not read yet", false
+	case !b.follower.Confirmed():
+		return "the configuration is not confirmed by the log yet", false
+	case b.table.Generation() == 0:
+		return "no configuration was published", false
+	}
+	return "", true
+}
+
+func (b *Balancer) status() cvstatus.Status {
+	s := cvstatus.Status{
+		VM: b.Settings.VM(), DataCentre: b.Settings.DataCentre(), Incarnation: b.process,
+		Generation: b.table.Generation(), Through: b.follower.Through(), Confirmed: b.follower.Confirmed(),
+		Stopping: b.stopping.Load(), InFlight: b.gateway.InFlight(), Claims: b.claims.Len(),
+	}
+	for _, service := range b.table.Services() {
+		s.Services = append(s.Services, b.serviceStatus(service.Name()))
+	}
+	return s
+}
+
+func (b *Balancer) serviceStatus(name string) cvservicestatus.Status {
+	s := cvservicestatus.Status{Name: name}
+	d := b.table.Dispatcher(name)
+	if d == nil {
+		return s
+	}
+	vms, ejected, draining := d.Upstreams(time.Now())
+	for _, v := range vms {
+		s.Upstreams = append(s.Upstreams, v.Name())
+	}
+	s.Ejected = ejected
+	s.Draining = draining
+	s.Calls, s.Tries, s.Waiting = d.Counts()
+	return s
+}
+
+func (b *Balancer) lift(string) bool { return false }
--- /dev/null
+++ b/io/cvdev/cvdev.go
@@ -0,0 +1,198 @@
+// Package cvdev is the embedded default: log, VM list, sample upstreams and two balancers in one process.
+package cvdev
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/user"
+	"time"
+
+	"github.com/apex/log"
+	"go.opentelemetry.io/otel/trace/noop"
+	"golang.org/x/sync/errgroup"
+
+	"comfreyvale"
+	"comfreyvale/core/cvfault"
+	"comfreyvale/core/cvservice"
+	"comfreyvale/core/cvwire"
+	"comfreyvale/io/cvbalancer"
+	"comfreyvale/io/cvcollector"
+	"comfreyvale/io/cvmemlist"
+	"comfreyvale/io/cvmemlog"
+	"comfreyvale/io/cvpublisher"
+	"comfreyvale/io/cvsample"
+	"comfreyvale/io/cvsettings"
+)
+
+const (
+	// balancerCount is the number of balancers.
+	balancerCount = 2
+	// upstreamCount is the number of sample upstreams of each group.
+	upstreamCount = 4
+	// startTime is how long the balancers may take to be ready.
+	startTime = 20 * time.Second
+)
+
+// fault is the error type of this package.
+type fault struct{ cvfault.Fault }
+
+func fail(operation string, kind comfreyvale.Kind, cause error) error {
+	return fault{cvfault.New(operation, kind, cause)}
+}
+
+// Dev runs everything in one process.
+type Dev struct {
+	// Directories hold the service files.
+	Directories []string
+	// Out takes the progress and the demonstration.
+	Out io.Writer
+	// Logger takes the balancers' lines.
+	Logger log.Interface
+	// Demo sends requests, prints the answers and ends; else Run serves until the context ends.
+	Demo bool
+
+	list      *cvmemlist.List
+	log       *cvmemlog.Log
+	groups    map[string]*cvsample.Group
+	balancers []*cvbalancer.Balancer
+	callers   []string
+	admins    []string
+}
+
+// Run serves, or demonstrates. The error of a demonstration says which answer was wrong.
+func (d *Dev) Run(ctx context.Context) error {
+	files, err := (&cvcollector.Collector{Directories: d.Directories}).Collect()
+	if err != nil {
+		return err
+	}
+	d.list = &cvmemlist.List{}
+	d.log = &cvmemlog.Log{}
+	if err := d.startUpstreams(files); err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	group, ctx := errgroup.WithContext(ctx)
+	if err := d.startBalancers(ctx, group); err != nil {
+		return err
+	}
+	group.Go(func() error {
+		defer stop()
+		return d.serve(ctx, files)
+	})
+	return group.Wait()
+}
+
+func (d *Dev) serve(ctx context.Context, files []*cvwire.ServiceFile) error {
+	if err := d.publish(ctx, files); err != nil {
+		return err
+	}
+	if err := d.awaitReady(ctx); err != nil {
+		return err
+	}
+	for i := range d.callers {
+		fmt.Fprintf(d.Out, "balancer %d: callers http://%s, operators http://%s\n", i+1, d.callers[i], d.admins[i])
+	}
+	if d.Demo {
+		return d.demonstrate(ctx)
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// startUpstreams starts a group of sample upstreams for each group that the service files name.
+func (d *Dev) startUpstreams(files []*cvwire.ServiceFile) error {
+	d.groups = make(map[string]*cvsample.Group)
+	for i, f := range files {
+		s, err := cvservice.Parse(f.GetPath(), f.GetContent())
+		if err != nil {
+			return err
+		}
+		if d.groups[s.Group()] != nil {
+			continue
+		}
+		g := &cvsample.Group{
+			Name: s.Group(), Count: upstreamCount, Slots: s.Slots(), DataCentres: []string{"dc-1", "dc-2"},
+			ConnectTime: time.Millisecond, Seed: uint64(i + 1), List: d.list,
+		}
+		if err := g.Start(); err != nil {
+			return err
+		}
+		d.groups[s.Group()] = g
+	}
+	return nil
+}
+
+func (d *Dev) startBalancers(ctx context.Context, group *errgroup.Group) error {
+	for i := range balancerCount {
+		settings, err := d.settings(i)
+		if err != nil {
+			return err
+		}
+		b := &cvbalancer.Balancer{
+			Settings: settings, Log: d.log, VMList: d.list,
+			Logger: d.Logger.WithField("vm", settings.VM()), Tracer: noop.NewTracerProvider().Tracer(""),
+		}
+		d.balancers = append(d.balancers, b)
+		d.callers = append(d.callers, settings.Listen())
+		d.admins = append(d.admins, settings.Admin())
+		d.list.Put(comfreyvale.NewVM(settings.VM(), settings.Group(), settings.DataCentre(), settings.Admin(), false))
+		group.Go(func() error { return b.Run(ctx) })
+	}
+	return nil
+}
+
+// settings writes the settings of one of the balancers, on free ports.
+func (d *Dev) settings(index int) (*cvsettings.Settings, error) {
+	var addresses []string
+	for range 3 {
+		a, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		addresses = append(addresses, a)
+	}
+	content := fmt.Sprintf(`vm: entry-%d
+dataCentre: dc-%d
+listen: %s
+admin: %s
+peer: %s
+log: {address: "http://embedded"}
+vmList: {address: "http://embedded", poll: 200ms}
+stop: {lag: 0s}
+`, index+1, index+1, addresses[0], addresses[1], addresses[2])
+	return cvsettings.Parse("embedded settings", []byte(content))
+}
+
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fail("listen", comfreyvale.KindUnavailable, err)
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+func (d *Dev) publish(ctx context.Context, files []*cvwire.ServiceFile) error {
+	p := &cvpublisher.Publisher{Log: d.log, ID: "embedded", Author: author(), Revision: "working tree", Out: d.Out}
+	publication, err := p.Prepare(ctx, time.Now(), files, nil)
+	if err != nil {
+		return err
+	}
+	offset, err := p.Publish(ctx, publication)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(d.Out, "published as generation %d\n", offset)
+	return nil
+}
+
+func author() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return os.Getenv("USER")
+}
--- /dev/null
+++ b/io/cvdispatcher/cvdispatcher.go
@@ -0,0 +1,255 @@
+// Package cvdispatcher hands the slots of one service's upstreams to the calls of one balancer.
+package cvdispatcher
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"comfreyvale"
+	"comfreyvale/core/cvadmitter"
+	"comfreyvale/core/cvclass"
+	"comfreyvale/core/cvfault"
+	"comfreyvale/core/cvpicker"
+	"comfreyvale/core/cvquantile"
+	"comfreyvale/core/cvretrier"
+	"comfreyvale/core/cvservice"
+	"comfreyvale/io/cvexchanger"
+)
+
+// fault is the error type of this package.
+type fault struct{ cvfault.Fault }
+
+func fail(operation string, kind comfreyvale.Kind, cause error) error {
+	return fault{cvfault.New(operation, kind, cause)}
+}
+
+// Dispatcher owns the decisions about one service's upstreams and makes them one at a time.
+type Dispatcher struct {
+	// Policy makes the picker; nil takes the default policy.
+	Policy func(*cvservice.Service) comfreyvale.Picker
+
+	mu        sync.Mutex
+	service   *cvservice.Service
+	vms       []comfreyvale.VM
+	admitter  *cvadmitter.Admitter
+	retrier   *cvretrier.Retrier
+	latencies map[string]*cvquantile.Quantile
+	waiting   map[*cvadmitter.Ticket]chan struct{}
+	exchanger *cvexchanger.Exchanger
+	calls     int64
+	tries     int64
+}
+
+// Update takes a new description of the service, its upstreams, and the number of live balancers.
+func (d *Dispatcher) Update(now time.Time, service *cvservice.Service, vms []comfreyvale.VM, balancers int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.admitter == nil {
+		d.init(service)
+	}
+	d.configure(service)
+	d.vms = vms
+	d.admitter.Update(now, vms, service.Slots(), balancers)
+	d.advance(now)
+}
+
+func (d *Dispatcher) init(service *cvservice.Service) {
+	policy := d.Policy
+	if policy == nil {
+		policy = func(*cvservice.Service) comfreyvale.Picker { return &cvpicker.Picker{} }
+	}
+	d.admitter = &cvadmitter.Admitter{Picker: policy(service)}
+	d.retrier = &cvretrier.Retrier{}
+	d.latencies = make(map[string]*cvquantile.Quantile)
+	d.waiting = make(map[*cvadmitter.Ticket]chan struct{})
+}
+
+// configure applies the settings that the service file holds.
+func (d *Dispatcher) configure(service *cvservice.Service) {
+	if d.service == nil || d.service.Connections() != service.Connections() {
+		d.exchanger = &cvexchanger.Exchanger{Connections: service.Connections()}
+	}
+	d.service = service
+	d.admitter.QueueLimit = service.Queue()
+	d.retrier.Share = service.RetryShare()
+	d.retrier.Burst = service.RetryBurst()
+	if p, ok := d.admitter.Picker.(*cvpicker.Picker); ok {
+		p.EjectFailures = service.EjectFailures()
+		p.EjectTime = service.EjectTime()
+		p.EjectFloor = service.EjectFloor()
+	}
+}
+
+// Exchanger is the pool of connections to the service's upstreams.
+func (d *Dispatcher) Exchanger() *cvexchanger.Exchanger {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.exchanger
+}
+
+// Acquire waits for an upstream's slot. The errors' kinds are: KindNotFound without any upstream,
+// KindExhausted when the queue is full, KindTimeout when the context ended first.
+func (d *Dispatcher) Acquire(ctx context.Context, class cvclass.Class, avoid []string, deadline time.Time) (*cvadmitter.Ticket, error) {
+	ticket := cvadmitter.NewTicket(class, avoid, deadline)
+	ready, err := d.enter(time.Now(), ticket)
+	if err != nil || ready == nil {
+		return ticket, err
+	}
+	select {
+	case <-ready:
+		return ticket, nil
+	case <-ctx.Done():
+	}
+	if d.withdraw(ticket) {
+		return nil, fail("acquire", comfreyvale.KindTimeout, ctx.Err())
+	}
+	return ticket, nil
+}
+
+// enter returns a nil channel when the slot was granted at once.
+func (d *Dispatcher) enter(now time.Time, ticket *cvadmitter.Ticket) (<-chan struct{}, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.admitter.Upstreams() == 0 {
+		return nil, fail("acquire", comfreyvale.KindNotFound, errors.New("the service has no upstreams"))
+	}
+	if !d.admitter.Enter(now, rand.Uint64(), ticket) {
+		return nil, fail("acquire", comfreyvale.KindExhausted, errors.Errorf("%d calls wait already", d.admitter.Waiting()))
+	}
+	if _, granted := ticket.Upstream(); granted {
+		return nil, nil
+	}
+	ready := make(chan struct{})
+	d.waiting[ticket] = ready
+	d.advance(now)
+	return ready, nil
+}
+
+// withdraw takes a ticket out of the queue, unless it was granted meanwhile.
+func (d *Dispatcher) withdraw(ticket *cvadmitter.Ticket) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.waiting, ticket)
+	return d.admitter.Leave(ticket)
+}
+
+// advance grants free slots to waiting tickets.
+func (d *Dispatcher) advance(now time.Time) {
+	for d.admitter.Waiting() > 0 {
+		ticket, ok := d.admitter.Next(now, rand.Uint64())
+		if !ok {
+			return
+		}
+		if ready := d.waiting[ticket]; ready != nil {
+			close(ready)
+			delete(d.waiting, ticket)
+		}
+	}
+}
+
+// Tick lets waiting calls go on that only the passing of time has freed.
+func (d *Dispatcher) Tick(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.advance(now)
+}
+
+// Release gives a slot back with the outcome of its try.
+func (d *Dispatcher) Release(ticket *cvadmitter.Ticket, outcome comfreyvale.Outcome) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tries++
+	d.admitter.Done(now, ticket, outcome)
+	d.advance(now)
+}
+
+// Observe takes what a peer says of its own tries in flight.
+func (d *Dispatcher) Observe(now time.Time, peer string, counts []comfreyvale.InFlight) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.admitter.Picker.Observe(now, peer, counts)
+	d.advance(now)
+}
+
+// InFlight returns the own tries in flight, for the peers.
+func (d *Dispatcher) InFlight() []comfreyvale.InFlight {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.admitter.Picker.InFlight()
+}
+
+// Drain stops new calls to an upstream and returns whether that is news.
+func (d *Dispatcher) Drain(now time.Time, upstream string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p, ok := d.admitter.Picker.(*cvpicker.Picker)
+	return ok && p.Drain(now, upstream)
+}
+
+// Begin counts a call against the budget of further tries.
+func (d *Dispatcher) Begin(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.calls++
+	d.retrier.Begin(now)
+}
+
+// AllowRetry takes one further try from the budget.
+func (d *Dispatcher) AllowRetry(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.retrier.Allow(now)
+}
+
+// Answered takes in the latency of a whole answer.
+func (d *Dispatcher) Answered(now time.Time, class string, latency time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	q := d.latencies[class]
+	if q == nil {
+		q = cvquantile.New()
+		d.latencies[class] = q
+	}
+	q.Add(now, latency)
+}
+
+// HedgeAfter returns the time after which a call of a class is sent a second time, or false for never.
+func (d *Dispatcher) HedgeAfter(now time.Time, class string) (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	q := d.latencies[class]
+	if q == nil || d.service.HedgeQuantile() >= 1 {
+		return 0, false
+	}
+	return q.At(now, d.service.HedgeQuantile())
+}
+
+// Service is the service as last configured.
+func (d *Dispatcher) Service() *cvservice.Service {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.service
+}
+
+// Counts returns the numbers of calls begun, tries ended and calls waiting.
+func (d *Dispatcher) Counts() (calls, tries int64, waiting int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.calls, d.tries, d.admitter.Waiting()
+}
+
+// Upstreams returns the upstreams known, and the names of the ejected and the draining ones.
+func (d *Dispatcher) Upstreams(now time.Time) (known []comfreyvale.VM, ejected, draining []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p, ok := d.admitter.Picker.(*cvpicker.Picker); ok {
+		ejected = p.Ejected()
+		draining = p.Draining(now)
+	}
+	return d.vms, ejected, draining
+}
--- /dev/null
+++ b/io/cvfollower/cvfollower.go
@@ -0,0 +1,233 @@
+// Package cvfollower is the reader that keeps a balancer's configuration at the head of the log.
+package cvfollower
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+
+	"comfreyvale"
+	"comfreyvale/core/cvconfiguration"
+	"comfreyvale/core/cvfault"
+	"comfreyvale/core/cvreader"
+	"comfreyvale/core/cvverdict"
+	"comfreyvale/core/cvwire"
+	"comfreyvale/io/cvmetrics"
+)
+
+// Stream is the stream that publications are appended to.
+const Stream = "configuration"
+
+const (
+	// pollTime is how long one read waits for news.
+	pollTime = 10 * time.Second
+	// retryTime is the pause after a failed read.
+	retryTime = 200 * time.Millisecond
+)
+
+// fault is the error type of this package.
+type fault struct{ cvfault.Fault }
+
+func fail(operation string, kind comfreyvale.Kind, cause error) error {
+	return fault{cvfault.New(operation, kind, cause)}
+}
+
+// Follower applies the configuration stream as it grows.
+type Follower struct {
+	// Log is the platform's log.
+	Log comfreyvale.Log
+	// Changed is told of each configuration that comes into force, in order.
+	Changed func(*cvconfiguration.Configuration)
+	// Metrics counts.
+	Metrics *cvmetrics.Metrics
+	// Logger takes lines for changes of state.
+	Logger log.Interface
+
+	mu        sync.Mutex
+	reader    *cvreader.Reader
+	confirmed bool
+	readAt    time.Time
+	logged    string
+}
+
+// Run follows the stream until the context ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := f.step(ctx); err != nil {
+			f.note("unreachable", err.Error())
+			pause(ctx, retryTime)
+		}
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// step reads once and applies what came.
+func (f *Follower) step(ctx context.Context) error {
+	wait := pollTime
+	if !f.Confirmed() {
+		wait = 0
+	}
+	batch, err := f.Log.Read(ctx, Stream, f.Through(), wait)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	if batch.First() > f.reader.Through() {
+		return f.recover(ctx, batch)
+	}
+	for _, r := range batch.Records() {
+		f.apply(r)
+	}
+	f.confirm(batch)
+	return nil
+}
+
+// confirm notes that the reader has reached the head of the log.
+func (f *Follower) confirm(batch comfreyvale.Batch) {
+	if f.reader.Through() < batch.Next() {
+		return
+	}
+	f.readAt = time.Now()
+	if !f.confirmed {
+		f.confirmed = true
+		f.note("confirmed", "")
+	}
+	f.note("reading", "")
+}
+
+func (f *Follower) apply(record comfreyvale.Record) {
+	if record.Offset() < f.reader.Through() {
+		return
+	}
+	verdict, err := f.reader.Apply(record)
+	if err != nil {
+		f.Logger.WithError(err).Error("configuration record out of order")
+		return
+	}
+	f.report(record.Offset(), verdict)
+}
+
+func (f *Follower) report(offset int64, verdict cvverdict.Verdict) {
+	if verdict.Accepted() {
+		f.inForce()
+		return
+	}
+	if verdict.Result() == cvverdict.Ignored {
+		return
+	}
+	f.Metrics.Changed("publicationRejected")
+	f.Logger.WithFields(log.Fields{"offset": offset, "result": verdict.Result(), "reason": verdict.Reason()}).Warn("publication rejected")
+}
+
+// inForce tells of the reader's configuration.
+func (f *Follower) inForce() {
+	f.Metrics.SetGeneration(f.reader.Generation())
+	f.Metrics.Changed("configuration")
+	f.Logger.WithField("generation", f.reader.Generation()).Info("configuration in force")
+	f.Changed(f.reader.Configuration())
+}
+
+// recover continues after records that the log no longer keeps, from a checkpoint that it still holds.
+func (f *Follower) recover(ctx context.Context, batch comfreyvale.Batch) error {
+	records := batch.Records()
+	next := batch
+	for len(next.Records()) > 0 && records[len(records)-1].Offset()+1 < next.Next() {
+		more, err := f.Log.Read(ctx, Stream, records[len(records)-1].Offset()+1, 0)
+		if err != nil {
+			return err
+		}
+		records = append(records, more.Records()...)
+		next = more
+	}
+	taken, err := f.reader.Recover(comfreyvale.NewBatch(next.First(), next.Next(), records))
+	if err != nil {
+		return err
+	}
+	if !taken {
+		return fail("recover", comfreyvale.KindNotFound, errors.New("the log holds neither the next record nor a checkpoint after it"))
+	}
+	f.inForce()
+	return nil
+}
+
+// note logs a change of the follower's own state.
+func (f *Follower) note(state, reason string) {
+	if f.logged == state {
+		return
+	}
+	f.logged = state
+	f.Metrics.Changed("configurationLog")
+	f.Logger.WithFields(log.Fields{"state": state, "reason": reason}).Info("configuration log")
+}
+
+func (f *Follower) init() {
+	if f.reader == nil {
+		f.reader = cvreader.New()
+	}
+}
+
+// Offer takes over a peer's state where it reaches further than this one.
+func (f *Follower) Offer(checkpoint *cvwire.Checkpoint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	before := f.reader.Generation()
+	taken, err := f.reader.Restore(checkpoint)
+	if err != nil {
+		f.Logger.WithError(err).Error("a peer's configuration cannot be read")
+		return
+	}
+	if taken && f.reader.Generation() != before {
+		f.inForce()
+	}
+}
+
+// Checkpoint is the whole state, for peers and the log.
+func (f *Follower) Checkpoint() *cvwire.Checkpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	return f.reader.Checkpoint()
+}
+
+// Through is the next offset to apply.
+func (f *Follower) Through() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	return f.reader.Through()
+}
+
+// Generation is the offset of the last accepted publication.
+func (f *Follower) Generation() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	return f.reader.Generation()
+}
+
+// Confirmed says whether the head of the log was reached since the start.
+func (f *Follower) Confirmed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmed
+}
+
+// ReadAt is when the head of the log was last reached.
+func (f *Follower) ReadAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.readAt
+}
--- /dev/null
+++ b/io/cvlistserver/cvlistserver.go
@@ -0,0 +1,63 @@
+// Package cvlistserver is the stand-in for the platform's VM list, over HTTP.
+package cvlistserver
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"comfreyvale"
+	"comfreyvale/io/cvmemlist"
+)
+
+// Server serves a VM list in memory. PUT /vms/{name} adds a VM and DELETE /vms/{name} removes it.
+type Server struct {
+	// List holds the VMs.
+	List *cvmemlist.List
+}
+
+type vm struct {
+	Name       string `json:"name"`
+	Group      string `json:"group"`
+	DataCentre string `json:"dataCentre"`
+	Address    string `json:"address"`
+	Leaving    bool   `json:"leaving"`
+}
+
+// Handler returns the server's HTTP handler.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /vms", s.list)
+	mux.HandleFunc("PUT /vms/{name}", s.put)
+	mux.HandleFunc("DELETE /vms/{name}", s.remove)
+	return mux
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	vms, err := s.List.List(r.Context())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	answer := make([]vm, 0, len(vms))
+	for _, v := range vms {
+		answer = append(answer, vm{v.Name(), v.Group(), v.DataCentre(), v.Address(), v.Leaving()})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// The status line is out, so that a failed write only concerns the connection.
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	var v vm
+	if err := json.NewDecoder(r.Body).Decode(&v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.List.Put(comfreyvale.NewVM(r.PathValue("name"), v.Group, v.DataCentre, v.Address, v.Leaving))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
+	s.List.Remove(r.PathValue("name"))
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/io/cvrunner/try.go
@@ -0,0 +1,283 @@
+package cvrunner
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+
+	"comfreyvale"
+	"comfreyvale/core/cvadmitter"
+	"comfreyvale/core/cvfault"
+	"comfreyvale/io/cvheader"
+	"comfreyvale/io/cvreply"
+)
+
+// outcome is how a try ended.
+type outcome int
+
+const (
+	answered outcome = iota
+	serverError
+	refusedUnrun
+	unsent
+	broke
+	unframed
+	cancelled
+	noSlot
+)
+
+// try is one attempt at a call.
+type try struct {
+	race     *race
+	avoid    []string
+	cancel   context.CancelFunc
+	choice   atomic.Pointer[string]
+	upstream string
+	sent     bool
+	outcome  outcome
+	err      error
+	reply    *cvreply.Reply
+	began    time.Time
+}
+
+// current is the upstream that the try was sent to so far, or empty.
+func (t *try) current() string {
+	if name := t.choice.Load(); name != nil {
+		return *name
+	}
+	return ""
+}
+
+// failed says whether the answer is one that another upstream may better.
+func (t *try) failed() bool { return t.outcome == serverError }
+
+func (t *try) run(ctx context.Context) {
+	t.attempt(ctx)
+	if t.reply == nil {
+		t.cancel()
+	}
+	select {
+	case t.race.results <- t:
+	case <-t.race.over:
+		if t.reply != nil {
+			t.reply.Close(false)
+		}
+	}
+}
+
+func (t *try) attempt(ctx context.Context) {
+	call := t.race.call
+	queued, span := t.race.runner.Tracer.Start(ctx, "queue")
+	ticket, err := t.race.dispatcher.Acquire(queued, call.Class(), t.avoid, call.Deadline())
+	span.End()
+	if err != nil {
+		t.end(noSlot, err)
+		return
+	}
+	vm, _ := ticket.Upstream()
+	t.upstream = vm.Name()
+	t.choice.Store(&t.upstream)
+	t.began = time.Now()
+	t.exchange(ctx, ticket, vm)
+}
+
+func (t *try) exchange(ctx context.Context, ticket *cvadmitter.Ticket, vm comfreyvale.VM) {
+	ctx, span := t.race.runner.Tracer.Start(ctx, "try")
+	defer span.End()
+	span.SetAttributes(attribute.String("upstream", vm.Name()), attribute.String("dataCentre", vm.DataCentre()))
+	response, err := t.race.dispatcher.Exchanger().Exchange(ctx, vm, t.request(ctx))
+	if err == nil {
+		t.sent = true
+		t.receive(ctx, ticket, response)
+	} else {
+		t.sent = cvfault.KindOf(err) != comfreyvale.KindUnavailable
+		t.fail(ctx, ticket, err)
+	}
+	if t.err != nil {
+		span.SetStatus(codes.Error, t.err.Error())
+	}
+}
+
+// request builds the request that goes to the upstream.
+func (t *try) request(ctx context.Context) *http.Request {
+	call := t.race.call
+	request, err := http.NewRequestWithContext(ctx, call.Method(), "http://upstream"+call.Target(), bytes.NewReader(call.Body()))
+	if err != nil {
+		// The target was parsed by the HTTP server already.
+		request = &http.Request{Method: call.Method()}
+	}
+	request.Header = call.Header().Clone()
+	request.Host = call.Header().Get("Host")
+	request.Header.Del("Host")
+	left := time.Until(call.Deadline()).Milliseconds()
+	request.Header.Set(cvheader.Timeout, strconv.FormatInt(max(left, 1), 10))
+	request.Header.Set(cvheader.RequestID, call.ID())
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(request.Header))
+	return request
+}
+
+// fail ends a try without an answer's head.
+func (t *try) fail(ctx context.Context, ticket *cvadmitter.Ticket, err error) {
+	switch {
+	case ctx.Err() != nil:
+		t.release(ticket, comfreyvale.ResultCancelled)
+		t.end(cancelled, err)
+	case !t.sent:
+		t.release(ticket, comfreyvale.ResultFailed)
+		t.end(unsent, err)
+	default:
+		t.release(ticket, comfreyvale.ResultFailed)
+		t.end(broke, err)
+		t.race.runner.Died(t.race.call, t.upstream)
+	}
+}
+
+// receive takes an answer's head and as much of its body as is held.
+func (t *try) receive(ctx context.Context, ticket *cvadmitter.Ticket, response *http.Response) {
+	if response.Header.Get(cvheader.Draining) == "true" {
+		t.race.runner.Draining(t.race.call.Service().Name(), t.upstream)
+	}
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(cvheader.Ran) == string(comfreyvale.RanNo) {
+		response.Body.Close()
+		t.release(ticket, comfreyvale.ResultRefused)
+		t.end(refusedUnrun, errors.New("the upstream refused the request unrun"))
+		return
+	}
+	if err := t.race.dispatcher.Exchanger().Framed(response); err != nil {
+		response.Body.Close()
+		t.release(ticket, comfreyvale.ResultFailed)
+		t.end(unframed, err)
+		return
+	}
+	t.hold(ctx, ticket, response)
+}
+
+// hold reads the body up to the limit of held answers.
+func (t *try) hold(ctx context.Context, ticket *cvadmitter.Ticket, response *http.Response) {
+	limit := t.race.call.Service().HeldAnswerLimit()
+	reserved := limit
+	if response.ContentLength >= 0 {
+		reserved = min(response.ContentLength, limit)
+	}
+	if response.ContentLength > limit || !t.race.runner.Memory.TryAcquire(reserved) {
+		t.stream(ticket, response, nil, 0)
+		return
+	}
+	held, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err != nil {
+		t.race.runner.Memory.Release(reserved)
+		response.Body.Close()
+		t.fail(ctx, ticket, err)
+		return
+	}
+	if int64(len(held)) > limit {
+		t.stream(ticket, response, held, reserved)
+		return
+	}
+	response.Body.Close()
+	t.release(ticket, t.result(response))
+	t.reply = cvreply.New(t.upstream, response, held, nil, func(bool) {
+		t.race.runner.Memory.Release(reserved)
+		t.cancel()
+	})
+}
+
+// stream hands the rest of the body on; the slot is held until it ends.
+func (t *try) stream(ticket *cvadmitter.Ticket, response *http.Response, held []byte, reserved int64) {
+	result := t.result(response)
+	t.reply = cvreply.New(t.upstream, response, held, response.Body, func(whole bool) {
+		t.cancel()
+		response.Body.Close()
+		t.race.runner.Memory.Release(reserved)
+		if !whole {
+			result = comfreyvale.ResultCancelled
+		}
+		t.release(ticket, result)
+	})
+}
+
+// result tells routing how the try went, and notes an answer that another upstream may better.
+func (t *try) result(response *http.Response) comfreyvale.Result {
+	if response.StatusCode >= http.StatusInternalServerError {
+		t.outcome = serverError
+		t.err = errors.New(response.Status)
+		return comfreyvale.ResultFailed
+	}
+	return comfreyvale.ResultAnswered
+}
+
+func (t *try) release(ticket *cvadmitter.Ticket, result comfreyvale.Result) {
+	now := time.Now()
+	latency := now.Sub(t.began)
+	t.race.dispatcher.Release(ticket, comfreyvale.NewOutcome(result, latency))
+	if result == comfreyvale.ResultAnswered {
+		t.race.dispatcher.Answered(now, t.race.call.Class().Name(), latency)
+	}
+}
+
+func (t *try) end(o outcome, err error) {
+	t.outcome = o
+	t.err = err
+}
+
+// condition says in words how the try ended.
+func (t *try) condition() string {
+	if t.err == nil {
+		return ""
+	}
+	if t.upstream == "" {
+		return t.err.Error()
+	}
+	return fmt.Sprintf("upstream %s after %s: %s", t.upstream, time.Since(t.began).Round(time.Microsecond), t.err)
+}
+
+// cause names the cause of a refusal that this try decides.
+func (t *try) cause() comfreyvale.Cause {
+	switch t.outcome {
+	case refusedUnrun:
+		return comfreyvale.CauseUpstreamRefused
+	case unsent:
+		return comfreyvale.CauseConnect
+	case unframed:
+		return comfreyvale.CauseAnswerUnframed
+	case noSlot:
+		return slotCause(t.err)
+	case cancelled:
+		return comfreyvale.CauseDeadline
+	}
+	return comfreyvale.CauseUpstreamBroke
+}
+
+func slotCause(err error) comfreyvale.Cause {
+	switch cvfault.KindOf(err) {
+	case comfreyvale.KindNotFound:
+		return comfreyvale.CauseNoUpstream
+	case comfreyvale.KindExhausted:
+		return comfreyvale.CauseQueueFull
+	}
+	return comfreyvale.CauseUpstreamsFull
+}
+
+// setting is the field of the service file that decided how the try ended, or empty.
+func (t *try) setting() string {
+	if t.outcome != noSlot {
+		return ""
+	}
+	switch slotCause(t.err) {
+	case comfreyvale.CauseNoUpstream:
+		return "group"
+	case comfreyvale.CauseQueueFull:
+		return "queue"
+	}
+	return "slots"
+}
--- /dev/null
+++ b/io/cvsettings/cvsettings.go
@@ -0,0 +1,151 @@
+// Package cvsettings is the checked settings file of one VM.
+package cvsettings
+
+import (
+	"os"
+	"time"
+
+	"comfreyvale"
+	"comfreyvale/core/cvfault"
+	"comfreyvale/core/cvfield"
+	"comfreyvale/core/cvschema"
+	"comfreyvale/core/cvvalues"
+)
+
+const (
+	addressPattern = `(\[[0-9a-f:]+\]|[0-9]{1,3}(\.[0-9]{1,3}){3}):[0-9]{1,5}`
+	addressAllowed = "an IP number and a port, like 10.0.0.1:8080"
+	urlPattern     = `https?://[!-~]+`
+	urlAllowed     = "a URL that begins with http:// or https://"
+	namePattern    = `[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?`
+	nameAllowed    = "1 to 63 of a-z, 0-9 and -"
+)
+
+// schema lists the fields of a settings file.
+var schema = cvschema.New([]cvfield.Field{
+	{Path: "vm", Kind: cvfield.Text, Required: true, Pattern: namePattern, Allowed: nameAllowed, Effect: "Names this VM, as the platform's list does."},
+	{Path: "dataCentre", Kind: cvfield.Text, Required: true, Pattern: namePattern, Allowed: nameAllowed, Effect: "Names the data centre that this VM runs in."},
+	{Path: "listen", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address for callers."},
+	{Path: "admin", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address for operators: status, explain, metrics, readiness."},
+	{Path: "peer", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address for the other balancers."},
+	{Path: "group", Kind: cvfield.Text, Default: "comfreyvale", Pattern: namePattern, Allowed: nameAllowed, Effect: "Group of the balancers in the platform's VM list."},
+	{Path: "log.address", Kind: cvfield.Text, Required: true, Pattern: urlPattern, Allowed: urlAllowed, Effect: "The platform's log service."},
+	{Path: "vmList.address", Kind: cvfield.Text, Required: true, Pattern: urlPattern, Allowed: urlAllowed, Effect: "The platform's VM list."},
+	{Path: "vmList.poll", Kind: cvfield.Duration, Default: "1s", Min: "100ms", Max: "1m", Effect: "How often the VM list is read."},
+	{Path: "gossip", Kind: cvfield.Duration, Default: "5ms", Min: "1ms", Max: "1s", Effect: "How often changes are told to the other balancers at most."},
+	{Path: "suspectAfter", Kind: cvfield.Duration, Default: "3s", Min: "500ms", Max: "1m", Effect: "How long a balancer must be unreachable for most others before it is taken out of the roster."},
+	{Path: "homes", Kind: cvfield.Count, Default: "8", Min: "1", Max: "64", Effect: "Balancers that are homes of keys at most. The same on all VMs."},
+	{Path: "journalInterval", Kind: cvfield.Duration, Default: "20ms", Min: "1ms", Max: "1s", Effect: "Time between two journal appends of one home at least; claims in between share one."},
+	{Path: "answerMemory", Kind: cvfield.Size, Default: "64MiB", Min: "1MiB", Max: "4GiB", Effect: "Bytes of answers that are held at a time until they are whole; further ones stream."},
+	{Path: "replayMemory", Kind: cvfield.Size, Default: "16MiB", Min: "1MiB", Max: "4GiB", Effect: "Bytes of answers that are kept for resends of their keys."},
+	{Path: "stop.lag", Kind: cvfield.Duration, Default: "5s", Min: "0s", Max: "5m", Effect: "After the stop signal, how long new calls are still taken, until the platform's balancer knows."},
+	{Path: "stop.limit", Kind: cvfield.Duration, Default: "1m", Min: "1s", Max: "1h", Effect: "After the lag, how long calls in progress may take before they are cut. Each use is counted and logged."},
+	{Path: "tls.certificate", Kind: cvfield.Text, Default: "", Effect: "PEM file with the certificate for callers; without it callers speak plain HTTP."},
+	{Path: "tls.key", Kind: cvfield.Text, Default: "", Effect: "PEM file with the certificate's key."},
+	{Path: "peerTls.certificate", Kind: cvfield.Text, Default: "", Effect: "PEM file with this VM's certificate for the other balancers; without it the peer links are plain."},
+	{Path: "peerTls.key", Kind: cvfield.Text, Default: "", Effect: "PEM file with that certificate's key."},
+	{Path: "peerTls.authority", Kind: cvfield.Text, Default: "", Effect: "PEM file with the authority that signs the balancers' certificates."},
+	{Path: "traces", Kind: cvfield.Text, Default: "", Pattern: `|` + urlPattern, Allowed: urlAllowed, Effect: "OTLP endpoint for traces; none are sent without it."},
+	{Path: "traceShare", Kind: cvfield.Share, Default: "1%", Min: "0%", Max: "100%", Effect: "Share of calls that are traced, where the caller did not decide."},
+})
+
+// Settings is what one VM is told about itself and its surroundings.
+type Settings struct {
+	values *cvvalues.Values
+}
+
+// fault is the error type of this package.
+type fault struct{ cvfault.Fault }
+
+// Fields returns the fields of a settings file in the order of the reference page.
+func Fields() []cvfield.Field { return schema.Fields() }
+
+// Load reads and checks a settings file.
+func Load(file string) (*Settings, error) {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fault{cvfault.New("load", comfreyvale.KindNotFound, err)}
+	}
+	return Parse(file, content)
+}
+
+// Parse checks the content of a settings file. The error has a line for each problem.
+func Parse(file string, content []byte) (*Settings, error) {
+	values, err := schema.Parse(file, content)
+	if err != nil {
+		return nil, err
+	}
+	return &Settings{values: values}, nil
+}
+
+// VM is this VM's name.
+func (s *Settings) VM() string { return s.values.Text("vm") }
+
+// DataCentre is where this VM runs.
+func (s *Settings) DataCentre() string { return s.values.Text("dataCentre") }
+
+// Listen is the address for callers.
+func (s *Settings) Listen() string { return s.values.Text("listen") }
+
+// Admin is the address for operators.
+func (s *Settings) Admin() string { return s.values.Text("admin") }
+
+// Peer is the address for the other balancers.
+func (s *Settings) Peer() string { return s.values.Text("peer") }
+
+// Group is the balancers' group in the VM list.
+func (s *Settings) Group() string { return s.values.Text("group") }
+
+// LogAddress is the URL of the platform's log service.
+func (s *Settings) LogAddress() string { return s.values.Text("log.address") }
+
+// VMListAddress is the URL of the platform's VM list.
+func (s *Settings) VMListAddress() string { return s.values.Text("vmList.address") }
+
+// VMListPoll is the time between two reads of the VM list.
+func (s *Settings) VMListPoll() time.Duration { return s.values.Duration("vmList.poll") }
+
+// Gossip is the shortest time between two messages of news to a peer.
+func (s *Settings) Gossip() time.Duration { return s.values.Duration("gossip") }
+
+// SuspectAfter is how long a balancer must be unreachable before it leaves the roster.
+func (s *Settings) SuspectAfter() time.Duration { return s.values.Duration("suspectAfter") }
+
+// Homes is how many balancers are homes of keys at most.
+func (s *Settings) Homes() int { return s.values.Count("homes") }
+
+// JournalInterval is the shortest time between two journal appends.
+func (s *Settings) JournalInterval() time.Duration { return s.values.Duration("journalInterval") }
+
+// AnswerMemory is how many bytes of answers are held at a time.
+func (s *Settings) AnswerMemory() int64 { return s.values.Size("answerMemory") }
+
+// ReplayMemory is how many bytes of answers are kept for resends.
+func (s *Settings) ReplayMemory() int64 { return s.values.Size("replayMemory") }
+
+// StopLag is how long new calls are taken after the stop signal.
+func (s *Settings) StopLag() time.Duration { return s.values.Duration("stop.lag") }
+
+// StopLimit is how long calls in progress may take after the lag.
+func (s *Settings) StopLimit() time.Duration { return s.values.Duration("stop.limit") }
+
+// Certificate is the PEM file of the certificate for callers, or empty.
+func (s *Settings) Certificate() string { return s.values.Text("tls.certificate") }
+
+// Key is the PEM file of that certificate's key, or empty.
+func (s *Settings) Key() string { return s.values.Text("tls.key") }
+
+// PeerCertificate is the PEM file of the certificate for the other balancers, or empty.
+func (s *Settings) PeerCertificate() string { return s.values.Text("peerTls.certificate") }
+
+// PeerKey is the PEM file of that certificate's key, or empty.
+func (s *Settings) PeerKey() string { return s.values.Text("peerTls.key") }
+
+// PeerAuthority is the PEM file of the authority of the balancers' certificates, or empty.
+func (s *Settings) PeerAuthority() string { return s.values.Text("peerTls.authority") }
+
+// Traces is the OTLP endpoint, or empty.
+func (s *Settings) Traces() string { return s.values.Text("traces") }
+
+// TraceShare is the share of calls that are traced.
+func (s *Settings) TraceShare() float64 { return s.values.Share("traceShare") }
--- /dev/null
+++ b/io/cvupstream/answers.go
@@ -0,0 +1,60 @@
+package cvupstream
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// answer is the body of an ordinary answer.
+type answer struct {
+	Upstream string `json:"upstream"`
+	Path     string `json:"path"`
+	Tag      string `json:"tag"`
+	Key      string `json:"key,omitempty"`
+	Run      int    `json:"run,omitempty"`
+}
+
+func (u *Upstream) answer(w http.ResponseWriter, r *http.Request, run int) {
+	if size, err := strconv.Atoi(r.URL.Query().Get("bytes")); err == nil && size > 0 {
+		u.file(w, r, size)
+		return
+	}
+	body := u.body(r, run)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	// A failed write only concerns the connection.
+	_, _ = w.Write(body)
+}
+
+func (u *Upstream) body(r *http.Request, run int) []byte {
+	a := answer{Upstream: u.Name, Path: r.URL.Path, Tag: r.Header.Get("X-Tag"), Key: r.Header.Get("Idempotency-Key"), Run: run}
+	// The struct holds texts and a number alone, which always encode.
+	body, _ := json.Marshal(a)
+	return body
+}
+
+// file answers with content that depends on the path alone, with an ETag, a digest and ranges.
+func (u *Upstream) file(w http.ResponseWriter, r *http.Request, size int) {
+	content := Content(r.URL.Path, size)
+	digest := sha256.Sum256(content)
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("ETag", `"`+hex.EncodeToString(digest[:8])+`"`)
+	w.Header().Set("Repr-Digest", "sha-256=:"+base64.StdEncoding.EncodeToString(digest[:])+":")
+	http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(content))
+}
+
+// Content is the file of a path, in the given size: lines that carry the path and their number.
+func Content(path string, size int) []byte {
+	var b bytes.Buffer
+	for line := 0; b.Len() < size; line++ {
+		fmt.Fprintf(&b, "%s line %d\n", path, line)
+	}
+	return b.Bytes()[:size]
+}
