Decide keys at homes among all balancers, journalled in the log

Cause: a key was granted from one balancer's memory, so a resend through another balancer could run the order a second time.

A new home grants nothing before it has read the journals of all departed incarnations and has a handover from each living member at the same epoch. Balancers share tries in flight, drain marks, suspect requests and the configuration over yamux links.

Ruled out: leases (a pause between check and dispatch outlives any lease) and copies of claims in peers' memory (a replicated store of our own).

--- a/core/cvhome/cvhome.go
+++ b/core/cvhome/cvhome.go
@@ -24,6 +24,7 @@
 	queue   []*cvwire.Claim
 	flight  *cvwire.JournalRecord
 	records int64
+	longest time.Duration
 	sealed  bool
 	gaps    []gap
 }
@@ -58,7 +59,7 @@
 // Immediate grants a key whose home is fixed in the key itself, without the journal.
 func (h *Home) Claim(now time.Time, request *cvwire.ClaimRequest, immediate bool) *cvwire.ClaimReply {
 	h.init()
-	if held := h.claims[request.GetKey()]; held != nil && !held.released && now.Before(held.at.Add(held.window)) {
+	if held := h.holding(now, request.GetKey()); held != nil {
 		return h.again(held, request)
 	}
 	if h.sealed && !immediate {
@@ -76,6 +77,21 @@
 	return nil
 }
 
+// holding returns the claim that holds a key, or nil.
+func (h *Home) holding(now time.Time, key string) *claim {
+	c := h.claims[key]
+	if c == nil || c.released || !now.Before(c.at.Add(c.window)) {
+		return nil
+	}
+	return c
+}
+
+// Free says whether a key is known never to have run within its window.
+func (h *Home) Free(now time.Time, key string) bool {
+	_, lost := h.lost(now, key)
+	return !lost && h.holding(now, key) == nil
+}
+
 // again answers a claim of a key that is held.
 func (h *Home) again(held *claim, request *cvwire.ClaimRequest) *cvwire.ClaimReply {
 	if !bytes.Equal(held.digest, request.GetDigest()) {
@@ -104,6 +120,7 @@
 		key: request.GetKey(), grant: request.GetGrant(), holder: request.GetHolder(), digest: request.GetDigest(),
 		at: now, window: time.Duration(request.GetWindowMs()) * time.Millisecond,
 	}
+	h.longest = max(h.longest, c.window)
 	h.store(c)
 	return c
 }
@@ -139,7 +156,9 @@
 	}
 	size := min(len(h.queue), max(h.BatchLimit, 1))
 	h.records++
-	h.flight = &cvwire.JournalRecord{Id: fmt.Sprintf("%s/%d", h.Incarnation, h.records), Claims: h.queue[:size:size]}
+	h.flight = &cvwire.JournalRecord{
+		Id: fmt.Sprintf("%s/%d", h.Incarnation, h.records), Claims: h.queue[:size:size], LongestWindowMs: h.longest.Milliseconds(),
+	}
 	h.queue = h.queue[size:]
 	return h.flight
 }
--- a/core/cvpicker/cvpicker.go
+++ b/core/cvpicker/cvpicker.go
@@ -204,10 +204,12 @@
 	return names
 }
 
-// Observe takes what a peer says of its own tries in flight. Upstreams that it leaves out have none.
-func (p *Picker) Observe(now time.Time, peer string, counts []comfreyvale.InFlight) {
-	for _, u := range p.upstreams {
-		u.forget(peer)
+// Observe takes what a peer says of its own tries in flight. When that is the whole, upstreams left out have none.
+func (p *Picker) Observe(now time.Time, peer string, whole bool, counts []comfreyvale.InFlight) {
+	if whole {
+		for _, u := range p.upstreams {
+			u.forget(peer)
+		}
 	}
 	for _, c := range counts {
 		if u := p.byName[c.Upstream()]; u != nil {
--- /dev/null
+++ b/core/cvsuspicion/cvsuspicion.go
@@ -0,0 +1,101 @@
+// Package cvsuspicion is the decision which balancers are taken out of the roster because they stopped answering.
+package cvsuspicion
+
+import (
+	"slices"
+	"time"
+)
+
+// reportLife is how long a peer's word on whom it lost is believed.
+const reportLife = 2 * time.Second
+
+// Suspicion gathers what this balancer and its peers say of lost members. It is not safe for concurrent use.
+type Suspicion struct {
+	// Self is this balancer's incarnation.
+	Self string
+	// After is how long a member must be lost.
+	After time.Duration
+	// RefusedAfter is the same for a member whose address refuses connections, as when its process is gone.
+	RefusedAfter time.Duration
+
+	lost    map[string]loss
+	reports map[string]report
+}
+
+type loss struct {
+	since   time.Time
+	refused bool
+}
+
+type report struct {
+	at   time.Time
+	lost []string
+}
+
+// Reached says that a member answers.
+func (s *Suspicion) Reached(incarnation string) { delete(s.lost, incarnation) }
+
+// Missed says that a member does not answer, and whether its address refuses connections.
+func (s *Suspicion) Missed(now time.Time, incarnation string, refused bool) {
+	if s.lost == nil {
+		s.lost = make(map[string]loss)
+	}
+	l, ok := s.lost[incarnation]
+	if !ok {
+		l.since = now
+	}
+	l.refused = refused
+	s.lost[incarnation] = l
+}
+
+// Lost are the members that this balancer has lost for long enough, in order.
+func (s *Suspicion) Lost(now time.Time) []string {
+	var found []string
+	for incarnation, l := range s.lost {
+		after := s.After
+		if l.refused {
+			after = s.RefusedAfter
+		}
+		if now.Sub(l.since) >= after {
+			found = append(found, incarnation)
+		}
+	}
+	slices.Sort(found)
+	return found
+}
+
+// Report takes a peer's word on whom it lost.
+func (s *Suspicion) Report(now time.Time, peer string, lost []string) {
+	if s.reports == nil {
+		s.reports = make(map[string]report)
+	}
+	s.reports[peer] = report{at: now, lost: lost}
+}
+
+// Evict returns the members to take out, in order. A member goes when this balancer has lost it and so have more than
+// half of all members; exactly half suffice with the first member among them, or when the platform no longer lists the VM.
+func (s *Suspicion) Evict(now time.Time, members []string, unlisted func(incarnation string) bool) []string {
+	var found []string
+	for _, incarnation := range s.Lost(now) {
+		if !slices.Contains(members, incarnation) {
+			continue
+		}
+		if unlisted(incarnation) || s.agreed(now, incarnation, members) {
+			found = append(found, incarnation)
+		}
+	}
+	return found
+}
+
+func (s *Suspicion) agreed(now time.Time, incarnation string, members []string) bool {
+	first := slices.Min(members)
+	count, hasFirst := 1, s.Self == first
+	for peer, r := range s.reports {
+		fresh := now.Sub(r.at) < reportLife && slices.Contains(members, peer)
+		if fresh && slices.Contains(r.lost, incarnation) {
+			count++
+			hasFirst = hasFirst || peer == first
+		}
+	}
+	return 2*count > len(members) || (2*count == len(members) && hasFirst)
+}
--- /dev/null
+++ b/io/cvbalancer/cluster.go
@@ -0,0 +1,233 @@
+package cvbalancer
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+
+	"comfreyvale"
+	"comfreyvale/core/cvview"
+	"comfreyvale/core/cvwire"
+	"comfreyvale/io/cvclaims"
+	"comfreyvale/io/cvgossip"
+	"comfreyvale/io/cvhomes"
+	"comfreyvale/io/cvmember"
+	"comfreyvale/io/cvpeers"
+)
+
+const (
+	// leaveTime is how long leaving the roster in order may take.
+	leaveTime = 5 * time.Second
+	// checkpointTime is the time between two checkpoints of the roster and the configuration.
+	checkpointTime = 30 * time.Second
+	// shortestWindow is the claim window that lost journals are judged by when no service says more.
+	shortestWindow = 10 * time.Minute
+)
+
+// buildCluster makes the parts that speak with the other balancers.
+func (b *Balancer) buildCluster(listener net.Listener) error {
+	secure, err := b.peerTLS()
+	if err != nil {
+		return err
+	}
+	b.peers = &cvpeers.Peers{
+		Process: b.process, Listener: listener, TLS: secure, Handle: b.handle, Changed: b.linkChanged, Metrics: b.metrics,
+	}
+	b.membership = &cvmember.Membership{
+		Log: b.Log, Process: b.process, VM: b.Settings.VM(), DataCentre: b.Settings.DataCentre(), PeerAddress: b.Settings.Peer(),
+		SuspectAfter: b.Settings.SuspectAfter(), Changed: b.rosterChanged, Unlisted: b.unlisted, Metrics: b.metrics, Logger: b.Logger,
+	}
+	b.homes = &cvhomes.Homes{
+		Process: b.process, Log: b.Log, Peers: b.peers, JournalInterval: b.Settings.JournalInterval(),
+		LongestWindow: b.longestWindow, Resign: b.membership.Resign, Metrics: b.metrics, Logger: b.Logger,
+	}
+	b.claims = &cvclaims.Claims{Process: b.process, Homes: b.homes, AnswerBudget: b.Settings.ReplayMemory(), Metrics: b.metrics}
+	b.gossip = &cvgossip.Gossip{
+		Interval: b.Settings.Gossip(), Peers: b.peers, Table: b.table, State: b.describe, Checkpoint: b.follower.Checkpoint,
+	}
+	return nil
+}
+
+// peerTLS returns the configuration of the peer links, which prove both sides, or nil for plain links.
+func (b *Balancer) peerTLS() (*tls.Config, error) {
+	if b.Settings.PeerCertificate() == "" {
+		return nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(b.Settings.PeerCertificate(), b.Settings.PeerKey())
+	if err != nil {
+		return nil, fail("peerTls", comfreyvale.KindInvalid, err)
+	}
+	authority, err := os.ReadFile(b.Settings.PeerAuthority())
+	if err != nil {
+		return nil, fail("peerTls", comfreyvale.KindInvalid, err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return nil, fail("peerTls", comfreyvale.KindInvalid, errors.Errorf("%s holds no certificate", b.Settings.PeerAuthority()))
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{certificate},
+		ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: pool, RootCAs: pool, ServerName: b.Settings.Group(),
+	}, nil
+}
+
+// handle answers a peer.
+func (b *Balancer) handle(ctx context.Context, from string, request *cvwire.PeerRequest) *cvwire.PeerReply {
+	switch r := request.GetRequest().(type) {
+	case *cvwire.PeerRequest_Gossip:
+		b.hear(from, r.Gossip)
+		return nil
+	case *cvwire.PeerRequest_Answer:
+		return &cvwire.PeerReply{Reply: &cvwire.PeerReply_Answer{Answer: b.claims.Answer(ctx, r.Answer)}}
+	}
+	return b.homes.Handle(ctx, request)
+}
+
+// hear takes a peer's news.
+func (b *Balancer) hear(from string, news *cvwire.Gossip) {
+	now := time.Now()
+	b.gossip.Counts(now, from, news)
+	for _, m := range news.GetMarks() {
+		b.takeMark(now, m)
+	}
+	if news.GetConfiguration() != nil {
+		b.follower.Offer(news.GetConfiguration())
+	}
+	if !news.GetWhole() {
+		return
+	}
+	b.membership.Report(news.GetIncarnation(), news.GetLost())
+	if news.GetThrough() < b.follower.Through() {
+		b.gossip.Offer(now, from)
+	}
+}
+
+// describe says what peers must know of this balancer.
+func (b *Balancer) describe(news *cvwire.Gossip) {
+	news.Incarnation = b.membership.Incarnation()
+	news.Generation = b.follower.Generation()
+	news.Through = b.follower.Through()
+	news.Epoch = b.membership.View().Epoch()
+	news.Stopping = b.stopping.Load()
+	news.Lost = b.membership.Lost()
+}
+
+// rosterChanged takes a new roster: who is linked, who is a home.
+func (b *Balancer) rosterChanged(view *cvview.View, incarnation string) {
+	addresses := make(map[string]string)
+	var processes []string
+	for _, m := range view.Members() {
+		if m.GetProcess() != b.process {
+			addresses[m.GetProcess()] = m.GetPeerAddress()
+			processes = append(processes, m.GetProcess())
+		}
+	}
+	b.peers.Want(addresses)
+	b.gossip.Forget(processes)
+	b.homes.SetView(view, incarnation)
+	b.noteMissing(processes)
+	b.applyVMs()
+}
+
+// noteMissing counts members without a link as missed until their link comes.
+func (b *Balancer) noteMissing(processes []string) {
+	linked := b.peers.Linked()
+	for _, p := range processes {
+		if !slices.Contains(linked, p) {
+			b.membership.Link(p, false, false)
+		}
+	}
+}
+
+func (b *Balancer) linkChanged(process string, up, refused bool) {
+	b.membership.Link(process, up, refused)
+	if up {
+		b.metrics.Changed("linkUp")
+		b.Logger.WithField("peer", process).Info("link up")
+		return
+	}
+	if !slices.Contains(b.peers.Linked(), process) {
+		b.metrics.Changed("linkDown")
+	}
+}
+
+// setVMs takes the platform's list.
+func (b *Balancer) setVMs(vms []comfreyvale.VM) {
+	b.mu.Lock()
+	b.vms = vms
+	b.mu.Unlock()
+	b.applyVMs()
+}
+
+func (b *Balancer) applyVMs() {
+	b.mu.Lock()
+	vms := b.vms
+	b.mu.Unlock()
+	b.table.SetVMs(time.Now(), vms, len(b.membership.View().Members()))
+}
+
+// unlisted says whether the platform's list, once read, lacks a member's VM or calls it leaving.
+func (b *Balancer) unlisted(member *cvwire.Member) bool {
+	if member == nil || !b.listed.Load() {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !slices.ContainsFunc(b.vms, func(v comfreyvale.VM) bool { return v.Name() == member.GetVm() && !v.Leaving() })
+}
+
+func (b *Balancer) longestWindow() time.Duration {
+	longest := shortestWindow
+	for _, s := range b.table.Services() {
+		longest = max(longest, s.ClaimWindow())
+	}
+	return longest
+}
+
+// checkpoint writes checkpoints while this balancer is the roster's first member. One that a paused writer appends late
+// is passed over by its readers.
+func (b *Balancer) checkpoint(ctx context.Context) error {
+	ticker := time.NewTicker(checkpointTime)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			b.writeCheckpoints(ctx)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (b *Balancer) writeCheckpoints(ctx context.Context) {
+	members := b.membership.View().Incarnations()
+	if len(members) == 0 || members[0] != b.membership.Incarnation() || b.stopping.Load() {
+		return
+	}
+	if err := b.membership.WriteCheckpoint(ctx); err != nil {
+		return
+	}
+	// A failed checkpoint comes again with the next turn.
+	_ = b.follower.WriteCheckpoint(ctx)
+}
+
+// leave hands the own keys over and leaves the roster.
+func (b *Balancer) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTime)
+	defer cancel()
+	if err := b.homes.Close(ctx); err != nil {
+		b.Logger.WithError(err).Warn("journal was not closed")
+	}
+	if err := b.membership.Leave(ctx); err != nil {
+		b.Logger.WithError(err).Warn("roster was not left in order")
+		return
+	}
+	b.Logger.WithFields(log.Fields{"incarnation": b.membership.Incarnation()}).Info("left the roster")
+}
--- a/io/cvbalancer/cvbalancer.go
+++ b/io/cvbalancer/cvbalancer.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,17 +16,20 @@
 	"golang.org/x/sync/semaphore"
 
 	"comfreyvale"
-	"comfreyvale/core/cvcall"
 	"comfreyvale/core/cvcauses"
 	"comfreyvale/core/cvconfiguration"
 	"comfreyvale/core/cvfault"
+	"comfreyvale/core/cvquarantine"
 	"comfreyvale/core/cvservice"
 	"comfreyvale/io/cvadmin"
 	"comfreyvale/io/cvclaims"
 	"comfreyvale/io/cvfollower"
 	"comfreyvale/io/cvgateway"
-	"comfreyvale/io/cvlocalhomes"
+	"comfreyvale/io/cvgossip"
+	"comfreyvale/io/cvhomes"
+	"comfreyvale/io/cvmember"
 	"comfreyvale/io/cvmetrics"
+	"comfreyvale/io/cvpeers"
 	"comfreyvale/io/cvrunner"
 	"comfreyvale/io/cvsettings"
 	"comfreyvale/io/cvtable"
@@ -66,18 +70,24 @@
 	// Policy makes the pickers; nil takes the default policy.
 	Policy func(*cvservice.Service) comfreyvale.Picker
 
-	process   string
-	metrics   *cvmetrics.Metrics
-	causes    *cvcauses.Causes
-	recorder  *recorder
-	table     *cvtable.Table
-	follower  *cvfollower.Follower
-	claims    *cvclaims.Claims
-	gateway   *cvgateway.Gateway
-	memory    *semaphore.Weighted
-	listed    atomic.Bool
-	stopping  atomic.Bool
-	listState string
+	process    string
+	metrics    *cvmetrics.Metrics
+	recorder   *recorder
+	table      *cvtable.Table
+	follower   *cvfollower.Follower
+	membership *cvmember.Membership
+	peers      *cvpeers.Peers
+	homes      *cvhomes.Homes
+	gossip     *cvgossip.Gossip
+	claims     *cvclaims.Claims
+	gateway    *cvgateway.Gateway
+	listed     atomic.Bool
+	stopping   atomic.Bool
+	listState  string
+
+	mu         sync.Mutex
+	quarantine cvquarantine.Quarantine
+	vms        []comfreyvale.VM
 }
 
 // recorder keeps decisions and counts them.
@@ -94,22 +104,22 @@
 
 // Run serves until the context ends, then stops in order.
 func (b *Balancer) Run(ctx context.Context) error {
-	callers, err := net.Listen("tcp", b.Settings.Listen())
+	listeners, err := listen(b.Settings.Listen(), b.Settings.Admin(), b.Settings.Peer())
 	if err != nil {
-		return fail("listen", comfreyvale.KindUnavailable, err)
+		return err
 	}
-	operators, err := net.Listen("tcp", b.Settings.Admin())
-	if err != nil {
-		callers.Close()
-		return fail("listen", comfreyvale.KindUnavailable, err)
+	callers, operators, peers := listeners[0], listeners[1], listeners[2]
+	if err := b.build(peers); err != nil {
+		return err
 	}
-	b.build()
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, background := errgroup.WithContext(background)
-	group.Go(func() error { return b.follower.Run(background) })
-	group.Go(func() error { return b.pollVMs(background) })
-	group.Go(func() error { return b.tick(background) })
+	for _, run := range []func(context.Context) error{
+		b.homes.Run, b.follower.Run, b.membership.Run, b.peers.Run, b.gossip.Run, b.pollVMs, b.tick, b.checkpoint,
+	} {
+		group.Go(func() error { return run(background) })
+	}
 	admin := &http.Server{Handler: b.admin().Handler(), ReadHeaderTimeout: headerTime}
 	group.Go(func() error { return ended(admin.Serve(operators)) })
 	server := b.callerServer()
@@ -124,6 +134,22 @@
 	return group.Wait()
 }
 
+// listen opens all addresses or none.
+func listen(addresses ...string) ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, a := range addresses {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			for _, open := range listeners {
+				open.Close()
+			}
+			return nil, fail("listen", comfreyvale.KindUnavailable, err)
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
+
 // ended turns the ordinary end of a server into no error.
 func ended(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
@@ -132,44 +158,28 @@
 	return fail("serve", comfreyvale.KindUnavailable, err)
 }
 
-func (b *Balancer) build() {
+func (b *Balancer) build(peers net.Listener) error {
 	b.process = newProcess(b.Settings.VM(), time.Now())
 	b.metrics = cvmetrics.New()
-	b.causes = &cvcauses.Causes{Limit: rememberedDecisions}
-	b.recorder = &recorder{Causes: b.causes, metrics: b.metrics}
-	b.memory = semaphore.NewWeighted(b.Settings.AnswerMemory())
+	b.recorder = &recorder{Causes: &cvcauses.Causes{Limit: rememberedDecisions}, metrics: b.metrics}
 	b.table = &cvtable.Table{Policy: b.Policy}
 	b.follower = &cvfollower.Follower{Log: b.Log, Metrics: b.metrics, Logger: b.Logger, Changed: b.changed}
-	b.claims = &cvclaims.Claims{Process: b.process, Homes: &cvlocalhomes.Homes{}, AnswerBudget: b.Settings.ReplayMemory(), Metrics: b.metrics}
+	if err := b.buildCluster(peers); err != nil {
+		return err
+	}
 	runner := &cvrunner.Runner{
-		Recorder: b.recorder, Tracer: b.Tracer, Memory: b.memory,
+		Recorder: b.recorder, Tracer: b.Tracer, Memory: semaphore.NewWeighted(b.Settings.AnswerMemory()),
 		Draining: b.draining, Died: b.died, Barred: b.barred,
 	}
 	b.gateway = &cvgateway.Gateway{
-		Find: b.table.Find, Quarantined: b.quarantined, Settled: b.settled, NewKeys: b.newKeys,
+		Find: b.table.Find, Quarantined: b.quarantined, Settled: b.settled, NewKeys: b.homes.NewKeys,
 		Runner: runner, Claims: b.claims, Recorder: b.recorder, Metrics: b.metrics, Tracer: b.Tracer,
 	}
+	return nil
 }
 
 func (b *Balancer) changed(c *cvconfiguration.Configuration) { b.table.SetConfiguration(time.Now(), c) }
 
-func (b *Balancer) draining(service, upstream string) {
-	if d := b.table.Dispatcher(service); d != nil && d.Drain(time.Now(), upstream) {
-		b.metrics.Changed("draining")
-		b.Logger.WithFields(log.Fields{"service": service, "upstream": upstream}).Info("upstream draining")
-	}
-}
-
-func (b *Balancer) died(*cvcall.Call, string) {}
-
-func (b *Balancer) barred(*cvcall.Call) bool { return false }
-
-func (b *Balancer) quarantined(time.Time, *cvcall.Call) (string, bool) { return "", false }
-
-func (b *Balancer) settled(*cvcall.Call) {}
-
-func (b *Balancer) newKeys(int) []string { return nil }
-
 func (b *Balancer) callerServer() *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
@@ -202,10 +212,6 @@
 	return nil
 }
 
-func (b *Balancer) setVMs(vms []comfreyvale.VM) {
-	b.table.SetVMs(time.Now(), vms, 1)
-}
-
 func (b *Balancer) noteList(err error) {
 	state := "reading"
 	if err != nil {
@@ -233,6 +239,8 @@
 		case now := <-ticker.C:
 			b.table.Tick(now)
 			b.claims.Expire(now)
+			b.homes.Expire(now)
+			b.expire(now)
 		case <-ctx.Done():
 			return nil
 		}
@@ -244,6 +252,7 @@
 	b.stopping.Store(true)
 	b.gateway.Stop()
 	b.Logger.WithField("inFlight", b.gateway.InFlight()).Info("stopping")
+	b.leave()
 	time.Sleep(b.Settings.StopLag())
 	ctx, cancel := context.WithTimeout(context.Background(), b.Settings.StopLimit())
 	defer cancel()
--- a/io/cvbalancer/status.go
+++ b/io/cvbalancer/status.go
@@ -31,9 +31,11 @@
 
 func (b *Balancer) status() cvstatus.Status {
 	s := cvstatus.Status{
-		VM: b.Settings.VM(), DataCentre: b.Settings.DataCentre(), Incarnation: b.process,
+		VM: b.Settings.VM(), DataCentre: b.Settings.DataCentre(), Incarnation: b.membership.Incarnation(),
 		Generation: b.table.Generation(), Through: b.follower.Through(), Confirmed: b.follower.Confirmed(),
-		Stopping: b.stopping.Load(), InFlight: b.gateway.InFlight(), Claims: b.claims.Len(),
+		Stopping: b.stopping.Load(), InFlight: b.gateway.InFlight(), Claims: b.homes.Len(),
+		Epoch: b.membership.View().Epoch(), Members: b.membership.View().Incarnations(), Linked: b.peers.Linked(),
+		Quarantines: b.quarantines(),
 	}
 	for _, service := range b.table.Services() {
 		s.Services = append(s.Services, b.serviceStatus(service.Name()))
@@ -56,5 +58,3 @@
 	s.Calls, s.Tries, s.Waiting = d.Counts()
 	return s
 }
-
-func (b *Balancer) lift(string) bool { return false }
--- a/io/cvdev/demo.go
+++ b/io/cvdev/demo.go
@@ -148,7 +148,7 @@
 		{name: "lookup", method: "GET", host: listings, path: "/lots/12", check: own("lookup")},
 		{name: "lookup", balancer: 1, method: "GET", host: ordering, path: "/slots/4", check: own("lookup")},
 		{name: "order", method: "POST", host: ordering, path: "/orders", key: "demo-order", body: order, check: own("order")},
-		{name: "resend", method: "POST", host: ordering, path: "/orders", key: "demo-order", body: order, check: replayed("order")},
+		{name: "resend", balancer: 1, method: "POST", host: ordering, path: "/orders", key: "demo-order", body: order, check: replayed("order")},
 		{name: "other order, same key", method: "POST", host: ordering, path: "/orders", key: "demo-order", body: "{}", check: refused(comfreyvale.CauseKeyReused)},
 		{name: "sheet", method: "GET", host: documents, path: sheet, check: content("/sheets/7")},
 		{name: "drawing", balancer: 1, method: "GET", host: drawings, path: drawing, check: content("/drawings/3")},
--- a/io/cvdispatcher/cvdispatcher.go
+++ b/io/cvdispatcher/cvdispatcher.go
@@ -169,10 +169,10 @@
 }
 
 // Observe takes what a peer says of its own tries in flight.
-func (d *Dispatcher) Observe(now time.Time, peer string, counts []comfreyvale.InFlight) {
+func (d *Dispatcher) Observe(now time.Time, peer string, whole bool, counts []comfreyvale.InFlight) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.admitter.Picker.Observe(now, peer, counts)
+	d.admitter.Picker.Observe(now, peer, whole, counts)
 	d.advance(now)
 }
 
--- a/io/cvfollower/cvfollower.go
+++ b/io/cvfollower/cvfollower.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"comfreyvale"
 	"comfreyvale/core/cvconfiguration"
@@ -202,6 +203,26 @@
 	return f.reader.Checkpoint()
 }
 
+// WriteCheckpoint appends the whole configuration, so that newcomers need no older records.
+func (f *Follower) WriteCheckpoint(ctx context.Context) error {
+	checkpoint := f.Checkpoint()
+	if checkpoint.GetGeneration() == 0 {
+		return nil
+	}
+	record := &cvwire.ConfigurationRecord{Record: &cvwire.ConfigurationRecord_Checkpoint{Checkpoint: checkpoint}}
+	body, err := proto.Marshal(record)
+	if err != nil {
+		return fail("checkpoint", comfreyvale.KindInvalid, err)
+	}
+	_, err = f.Log.Append(ctx, Stream, body)
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	f.Metrics.Appended(Stream, result)
+	return err
+}
+
 // Through is the next offset to apply.
 func (f *Follower) Through() int64 {
 	f.mu.Lock()
--- a/io/cvtable/cvtable.go
+++ b/io/cvtable/cvtable.go
@@ -22,6 +22,7 @@
 	vms       []comfreyvale.VM
 	balancers int
 	current   atomic.Pointer[view]
+	version   atomic.Int64
 }
 
 // view is what one call sees, from its arrival to its end.
@@ -58,6 +59,7 @@
 		next.dispatchers[s.Name()] = d
 	}
 	t.current.Store(next)
+	t.version.Add(1)
 }
 
 // SetVMs takes a new VM list and the number of live balancers.
@@ -69,6 +71,7 @@
 	}
 	t.vms = vms
 	t.balancers = balancers
+	t.version.Add(1)
 	v := t.current.Load()
 	if v == nil {
 		return
@@ -115,6 +118,9 @@
 	return v.configuration.Generation()
 }
 
+// Version grows with each change of the configuration or the VM list.
+func (t *Table) Version() int64 { return t.version.Load() }
+
 // Tick lets waiting calls go on that only the passing of time has freed.
 func (t *Table) Tick(now time.Time) {
 	for _, s := range t.Services() {
--- a/picker.go
+++ b/picker.go
@@ -11,8 +11,8 @@
 	Pick(now time.Time, draw uint64, avoid []string) (VM, bool)
 	// Done ends a try that Pick began.
 	Done(now time.Time, upstream string, outcome Outcome)
-	// Observe takes what a peer says of its own tries in flight.
-	Observe(now time.Time, peer string, inFlight []InFlight)
+	// Observe takes what a peer says of its own tries in flight. When that is the whole, upstreams left out have none.
+	Observe(now time.Time, peer string, whole bool, inFlight []InFlight)
 	// InFlight is what this picker would say to a peer, by upstream name in order.
 	InFlight() []InFlight
 	// String names the policy.
