Keep granting keys while the log is down, and prove at-most-once under failure

Ways weighed: leases from peers (unsafe under a pause between check and dispatch); copies of claims at peers (a replicated store of our own); refusing (true, but no service). Chosen: the other homes give their word to remember that a home has a gap, not what is in it. If that home is lost, keys of its range that nobody knows count as "may have run" for the claim window; grants need every other home's word, at the same roster epoch, no older than 2 s. When the log is back, the home journals what it granted and closes the gap.

Also: proof/ runs platform, upstreams and six balancers as separate processes with relays between the balancers, and judges by the upstreams' own records: no key runs twice, none told "not run" ran, none answered is missing.

Found on the way: the judge reported one order told "not run" that ran; its doubled sending shared a tag with the third resend. The load tool now gives each sending a tag of its own.

--- a/Makefile
+++ b/Makefile
@@ -19,3 +19,6 @@
 
 path:
 	scripts/path
+
+prove:
+	$(GO) test ./proof -v -count=1 -timeout 60m -args -seeds $(or $(SEEDS),3)
--- a/core/cvhome/cvhome.go
+++ b/core/cvhome/cvhome.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"time"
 
 	"comfreyvale/core/cvwire"
@@ -43,9 +44,10 @@
 
 // gap is a range of claims that were lost with their journal.
 type gap struct {
-	until    time.Time
-	evidence string
-	covers   func(key string) bool
+	incarnation string
+	until       time.Time
+	evidence    string
+	covers      func(key string) bool
 }
 
 func (h *Home) init() {
@@ -181,6 +183,20 @@
 	return granted
 }
 
+// Grant grants a claim that the journal does not hold yet, and returns whether it could be granted.
+// All other homes must remember the gap before.
+func (h *Home) Grant(grant string) bool {
+	c := h.grants[grant]
+	if c == nil || c.released || h.sealed {
+		return false
+	}
+	c.durable = true
+	return true
+}
+
+// Drained says whether the journal holds all claims.
+func (h *Home) Drained() bool { return h.flight == nil && len(h.queue) == 0 }
+
 // Seal says that the journal was closed by another process. Claims that were not committed will never be granted.
 func (h *Home) Seal() {
 	h.sealed = true
@@ -226,8 +242,13 @@
 }
 
 // Lose notes that claims of an earlier home are lost: keys that it covers and that are not known may have run.
-func (h *Home) Lose(until time.Time, evidence string, covers func(key string) bool) {
-	h.gaps = append(h.gaps, gap{until: until, evidence: evidence, covers: covers})
+func (h *Home) Lose(incarnation string, until time.Time, evidence string, covers func(key string) bool) {
+	h.gaps = append(h.gaps, gap{incarnation: incarnation, until: until, evidence: evidence, covers: covers})
+}
+
+// Find notes that the claims of an earlier home are known after all.
+func (h *Home) Find(incarnation string) {
+	h.gaps = slices.DeleteFunc(h.gaps, func(g gap) bool { return g.incarnation == incarnation })
 }
 
 // Handover returns the claims of the keys that now belong to another home, those that wait for the journal included.
--- a/core/cvroster/cvroster.go
+++ b/core/cvroster/cvroster.go
@@ -91,9 +91,9 @@
 	case *cvwire.RosterRecord_Join:
 		changed = r.join(change.Join)
 	case *cvwire.RosterRecord_Leave:
-		changed = r.depart(change.Leave, message.GetAtUnixMs())
+		changed = r.depart(change.Leave, message.GetAtUnixMs(), true)
 	case *cvwire.RosterRecord_Evict:
-		changed = r.depart(change.Evict, message.GetAtUnixMs())
+		changed = r.depart(change.Evict, message.GetAtUnixMs(), false)
 	}
 	if changed {
 		r.epoch = record.Offset()
@@ -110,12 +110,12 @@
 	return true
 }
 
-func (r *Roster) depart(incarnation string, at int64) bool {
+func (r *Roster) depart(incarnation string, at int64, clean bool) bool {
 	if r.Member(incarnation) == nil {
 		return false
 	}
 	r.members = slices.DeleteFunc(slices.Clone(r.members), func(m *cvwire.Member) bool { return m.GetIncarnation() == incarnation })
-	r.departures = append(r.departures, &cvwire.Departure{Incarnation: incarnation, AtUnixMs: at})
+	r.departures = append(r.departures, &cvwire.Departure{Incarnation: incarnation, AtUnixMs: at, Clean: clean})
 	r.gone[incarnation] = true
 	return true
 }
--- a/io/cvbalancer/cluster.go
+++ b/io/cvbalancer/cluster.go
@@ -25,8 +25,8 @@
 const (
 	// leaveTime is how long leaving the roster in order may take.
 	leaveTime = 5 * time.Second
-	// checkpointTime is the time between two checkpoints of the roster and the configuration.
-	checkpointTime = 30 * time.Second
+	// checkpointsPerRetention is how many checkpoints are written in the time that the log keeps records.
+	checkpointsPerRetention = 4
 	// shortestWindow is the claim window that lost journals are judged by when no service says more.
 	shortestWindow = 10 * time.Minute
 )
@@ -41,7 +41,7 @@
 		Process: b.process, Listener: listener, TLS: secure, Handle: b.handle, Changed: b.linkChanged, Metrics: b.metrics,
 	}
 	b.membership = &cvmember.Membership{
-		Log: b.Log, Process: b.process, VM: b.Settings.VM(), DataCentre: b.Settings.DataCentre(), PeerAddress: b.Settings.Peer(),
+		Log: b.Log, Process: b.process, VM: b.Settings.VM(), DataCentre: b.Settings.DataCentre(), PeerAddress: b.Settings.PeerAdvertise(),
 		SuspectAfter: b.Settings.SuspectAfter(), Changed: b.rosterChanged, Unlisted: b.unlisted, Metrics: b.metrics, Logger: b.Logger,
 	}
 	b.homes = &cvhomes.Homes{
@@ -194,7 +194,7 @@
 // checkpoint writes checkpoints while this balancer is the roster's first member. One that a paused writer appends late
 // is passed over by its readers.
 func (b *Balancer) checkpoint(ctx context.Context) error {
-	ticker := time.NewTicker(checkpointTime)
+	ticker := time.NewTicker(b.Settings.LogRetention() / checkpointsPerRetention)
 	defer ticker.Stop()
 	for {
 		select {
--- a/io/cvhomes/cvhomes.go
+++ b/io/cvhomes/cvhomes.go
@@ -65,6 +65,10 @@
 	closing     bool
 	failing     bool
 	wake        chan struct{}
+	gap         gap
+	gapNumber   int64
+	gaps        map[string]otherGap
+	vouched     map[string]bool
 }
 
 // Run does the work of a home until the context ends.
@@ -73,8 +77,16 @@
 	h.init()
 	h.ctx = ctx
 	h.mu.Unlock()
-	<-ctx.Done()
-	return nil
+	ticker := time.NewTicker(gapTime)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			h.keepGap(ctx, now)
+		case <-ctx.Done():
+			return nil
+		}
+	}
 }
 
 func (h *Homes) init() {
@@ -83,6 +95,8 @@
 	}
 	h.waiters = make(map[string]chan *cvwire.ClaimReply)
 	h.imported = make(map[string]bool)
+	h.gaps = make(map[string]otherGap)
+	h.vouched = make(map[string]bool)
 	h.view = cvview.New(0, nil, nil)
 	h.home = &cvhome.Home{}
 	h.wake = make(chan struct{}, 1)
@@ -191,14 +205,22 @@
 	if reply := h.elsewhere(request.GetKey()); reply != nil {
 		return reply, nil
 	}
-	if h.failing && h.home.Free(now, request.GetKey()) {
+	usable := h.gapUsable(now)
+	if h.failing && !usable && h.home.Free(now, request.GetKey()) {
 		return &cvwire.ClaimReply{Verdict: cvwire.ClaimReply_REFUSED, Condition: "the platform's log does not take claims; the key never ran"}, nil
 	}
 	if reply := h.home.Claim(now, request, false); reply != nil {
 		return reply, nil
 	}
+	if usable && h.home.Grant(request.GetGrant()) {
+		h.signal()
+		return &cvwire.ClaimReply{Verdict: cvwire.ClaimReply_GRANTED}, nil
+	}
 	waiter := make(chan *cvwire.ClaimReply, 1)
 	h.waiters[request.GetGrant()] = waiter
+	if h.gap.waitingSince.IsZero() {
+		h.gap.waitingSince = now
+	}
 	h.signal()
 	return nil, waiter
 }
@@ -261,6 +283,8 @@
 	case *cvwire.PeerRequest_Release:
 		h.release(r.Release)
 		return &cvwire.PeerReply{}
+	case *cvwire.PeerRequest_Gap:
+		return &cvwire.PeerReply{Reply: &cvwire.PeerReply_Gap{Gap: h.remember(time.Now(), r.Gap)}}
 	case *cvwire.PeerRequest_Handover:
 		return &cvwire.PeerReply{Reply: &cvwire.PeerReply_Handover{Handover: h.handover(r.Handover)}}
 	}
@@ -275,7 +299,12 @@
 	h.init()
 	reply := &cvwire.HandoverReply{Epoch: h.view.Epoch()}
 	if reply.Epoch == request.GetEpoch() {
-		reply.Claims = h.home.Handover(time.Now(), func(key string) bool { return h.view.Home(key) == request.GetIncarnation() })
+		now := time.Now()
+		reply.Claims = h.home.Handover(now, func(key string) bool { return h.view.Home(key) == request.GetIncarnation() })
+		reply.Gaps = h.openGaps(now)
+		for incarnation := range h.vouched {
+			reply.Vouched = append(reply.Vouched, incarnation)
+		}
 	}
 	return reply
 }
@@ -287,6 +316,7 @@
 	h.init()
 	h.home.Expire(now)
 	h.issued.Expire(now)
+	h.expireGaps(now)
 }
 
 // Len is the number of claims remembered here as a home.
--- a/io/cvhomes/takeover.go
+++ b/io/cvhomes/takeover.go
@@ -6,7 +6,10 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/pkg/errors"
 
+	"comfreyvale"
+	"comfreyvale/core/cvfault"
 	"comfreyvale/core/cvhome"
 	"comfreyvale/core/cvview"
 	"comfreyvale/core/cvwire"
@@ -20,6 +23,13 @@
 	appendPause = 100 * time.Millisecond
 )
 
+// fault is the error type of this package.
+type fault struct{ cvfault.Fault }
+
+func fail(operation string, kind comfreyvale.Kind, cause error) error {
+	return fault{cvfault.New(operation, kind, cause)}
+}
+
 // SetView takes the next view of the roster, and this process's incarnation in it, or an empty one.
 // All views must come, in order.
 func (h *Homes) SetView(view *cvview.View, incarnation string) {
@@ -61,6 +71,7 @@
 	h.home = &cvhome.Home{Incarnation: incarnation, BatchLimit: batchLimit}
 	h.home.Import(now, earlier.Handover(now, func(string) bool { return true }))
 	h.imported = make(map[string]bool)
+	h.gap = gap{}
 	if incarnation != "" {
 		go h.journal(h.ctx, h.home, incarnation)
 	}
@@ -78,7 +89,8 @@
 // Until it is done, no key is granted here.
 func (h *Homes) takeOver(ctx context.Context, view *cvview.View, incarnation string, round int) {
 	began := time.Now()
-	for _, d := range view.Departures() {
+	unread := h.unreadDepartures(view)
+	for _, d := range unread {
 		h.readJournal(ctx, d, round)
 	}
 	for _, m := range view.Members() {
@@ -91,11 +103,31 @@
 	if h.round != round || ctx.Err() != nil {
 		return
 	}
+	h.coverGaps(time.Now(), view)
+	for _, home := range view.Homes() {
+		h.vouched[home] = true
+	}
+	for _, d := range unread {
+		h.imported[d.GetIncarnation()] = true
+	}
 	h.ready = true
 	h.Metrics.Changed("takeOver")
 	h.Logger.WithFields(log.Fields{"epoch": view.Epoch(), "claims": h.home.Len(), "took": time.Since(began).String()}).Info("home ready")
 }
 
+// unreadDepartures are the departures whose journals were not taken over yet.
+func (h *Homes) unreadDepartures(view *cvview.View) []*cvwire.Departure {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var found []*cvwire.Departure
+	for _, d := range view.Departures() {
+		if !h.imported[d.GetIncarnation()] {
+			found = append(found, d)
+		}
+	}
+	return found
+}
+
 func (h *Homes) current(ctx context.Context, round int) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -105,7 +137,7 @@
 // readJournal takes over the claims of an incarnation that is gone, once.
 func (h *Homes) readJournal(ctx context.Context, departure *cvwire.Departure, round int) {
 	incarnation := departure.GetIncarnation()
-	for h.current(ctx, round) && !h.hasImported(incarnation) {
+	for h.current(ctx, round) {
 		journal := &cvjournal.Journal{Log: h.Log, Incarnation: incarnation, Metrics: h.Metrics}
 		sealed, err := journal.Seal(ctx, h.Process)
 		if err != nil {
@@ -118,20 +150,14 @@
 		if h.round == round {
 			h.home.Import(now, sealed.Claims())
 			if lostUntil.After(now) {
-				h.home.Lose(lostUntil, "claims of balancer "+incarnation+" are no longer in the platform's log", func(string) bool { return true })
+				h.home.Lose(incarnation, lostUntil, "claims of balancer "+incarnation+" are no longer in the platform's log", func(string) bool { return true })
 			}
-			h.imported[incarnation] = true
 		}
 		h.mu.Unlock()
+		return
 	}
 }
 
-func (h *Homes) hasImported(incarnation string) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.imported[incarnation]
-}
-
 // askHandover takes over the claims of a living member. The member's roster must be at the same epoch.
 func (h *Homes) askHandover(ctx context.Context, member *cvwire.Member, epoch int64, incarnation string, round int) {
 	request := &cvwire.HandoverRequest{Incarnation: incarnation, Epoch: epoch}
@@ -146,6 +172,7 @@
 		h.mu.Lock()
 		if h.round == round {
 			h.home.Import(time.Now(), reply.GetHandover().GetClaims())
+			h.hearGaps(time.Now(), reply.GetHandover())
 		}
 		h.mu.Unlock()
 		return
@@ -210,6 +237,10 @@
 	for _, grant := range home.Committed() {
 		h.reply(grant, &cvwire.ClaimReply{Verdict: cvwire.ClaimReply_GRANTED})
 	}
+	h.gap.waitingSince = time.Time{}
+	if len(h.waiters) > 0 {
+		h.gap.waitingSince = time.Now()
+	}
 }
 
 func (h *Homes) reply(grant string, reply *cvwire.ClaimReply) {
@@ -229,6 +260,9 @@
 		h.Metrics.Changed("journal")
 		h.Logger.Warn("journal does not take claims")
 	}
+	if time.Since(h.gap.waitingSince) < gapPatience {
+		return
+	}
 	for grant, waiter := range h.waiters {
 		waiter <- &cvwire.ClaimReply{Verdict: cvwire.ClaimReply_REFUSED, Condition: "the platform's log does not take claims; the key never ran"}
 		delete(h.waiters, grant)
@@ -256,16 +290,19 @@
 	if incarnation == "" {
 		return nil
 	}
-	for ctx.Err() == nil && h.waiting() > 0 {
+	for ctx.Err() == nil && !h.drained() {
 		pause(ctx, retryTime)
 	}
+	if ctx.Err() != nil {
+		return fail("close", comfreyvale.KindTimeout, errors.New("the journal does not hold all claims"))
+	}
 	journal := &cvjournal.Journal{Log: h.Log, Incarnation: incarnation, Metrics: h.Metrics}
 	_, err := journal.Seal(ctx, h.Process)
 	return err
 }
 
-func (h *Homes) waiting() int {
+func (h *Homes) drained() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return len(h.waiters)
+	return len(h.waiters) == 0 && h.home.Drained()
 }
--- a/io/cvload/calls.go
+++ b/io/cvload/calls.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -12,11 +13,23 @@
 
 	"comfreyvale/io/cvheader"
 	"comfreyvale/io/cvreport"
+	"comfreyvale/io/cvtold"
 	"comfreyvale/io/cvupstream"
 )
 
+// twinAttempt is the attempt number of a doubled call's second sending; resends have lower ones.
+const twinAttempt = 1003
+
 // make sends a call, and sends it again where the caller would.
 func (l *Load) make(ctx context.Context, c call) {
+	if c.double {
+		twin := make(chan struct{})
+		go func() {
+			defer close(twin)
+			l.attempt(ctx, c, twinAttempt)
+		}()
+		defer func() { <-twin }()
+	}
 	result := cvreport.Broken
 	for attempt := range l.Resends + 1 {
 		result = l.attempt(ctx, c, attempt)
@@ -40,42 +53,43 @@
 		return cvreport.Broken
 	}
 	request.Host = c.profile.Host
-	request.Header.Set("X-Tag", c.tag)
+	tag := fmt.Sprintf("%s.%d", c.tag, attempt)
+	request.Header.Set("X-Tag", tag)
 	if c.key != "" {
 		// net/http sends a request with the canonical name again by itself.
 		request.Header["idempotency-key"] = []string{c.key}
 	}
 	response, err := l.client.Do(request)
 	if err != nil {
-		l.told(c, cvreport.Broken, "")
+		l.told(c, tag, cvreport.Broken, "")
 		return cvreport.Broken
 	}
 	defer response.Body.Close()
-	return l.judge(c, response)
+	return l.judge(c, tag, response)
 }
 
 // judge reads an answer whole and checks that it is the call's own.
-func (l *Load) judge(c call, response *http.Response) string {
+func (l *Load) judge(c call, tag string, response *http.Response) string {
 	body, err := io.ReadAll(response.Body)
 	ran := response.Header.Get(cvheader.Ran)
 	if err != nil {
-		l.told(c, cvreport.Broken, ran)
+		l.told(c, tag, cvreport.Broken, ran)
 		return cvreport.Broken
 	}
 	if response.StatusCode != http.StatusOK {
-		l.told(c, cvreport.Refused, ran)
+		l.told(c, tag, cvreport.Refused, ran)
 		l.cause(c, body)
 		return cvreport.Refused
 	}
-	if !l.own(c, body) {
+	if !l.own(c, tag, body) {
 		return cvreport.Wrong
 	}
-	l.told(c, cvreport.Answered, "yes")
+	l.told(c, tag, cvreport.Answered, "yes")
 	return cvreport.Answered
 }
 
 // own says whether a body is the whole answer to this call and to no other.
-func (l *Load) own(c call, body []byte) bool {
+func (l *Load) own(c call, tag string, body []byte) bool {
 	if c.profile.Bytes > 0 {
 		path, _, _ := strings.Cut(c.path, "?")
 		return bytes.Equal(body, cvupstream.Content(path, c.profile.Bytes))
@@ -84,17 +98,21 @@
 		Tag string `json:"tag"`
 		Key string `json:"key"`
 	}
-	return json.Unmarshal(body, &answer) == nil && answer.Tag == c.tag && answer.Key == c.key
+	if json.Unmarshal(body, &answer) != nil || answer.Key != c.key {
+		return false
+	}
+	// The answer to a resent order may be the one to an earlier try of the same order.
+	return answer.Tag == tag || (c.key != "" && strings.HasPrefix(answer.Tag, c.tag+"."))
 }
 
 // told notes what the caller of a keyed call was told.
-func (l *Load) told(c call, result, ran string) {
+func (l *Load) told(c call, tag, result, ran string) {
 	if c.key == "" {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.report.Tell(c.key, result, ran)
+	l.report.Tell(c.key, cvtold.New(tag, result, ran))
 }
 
 func (l *Load) cause(c call, body []byte) {
--- a/io/cvload/cvload.go
+++ b/io/cvload/cvload.go
@@ -47,6 +47,8 @@
 	Timeout time.Duration
 	// Resends is how often a caller sends a call again that was refused or broke, to another target.
 	Resends int
+	// Doubles is the share of keyed calls that are sent through two targets at the same time.
+	Doubles float64
 	// Seed makes the calls the same in each run.
 	Seed uint64
 	// Name begins keys and tags, so that several runs do not share any.
@@ -103,6 +105,7 @@
 	path    string
 	tag     string
 	key     string
+	double  bool
 	due     time.Time
 }
 
@@ -124,6 +127,7 @@
 	}
 	if p.Keyed {
 		c.key = c.tag
+		c.double = random.Float64() < l.Doubles
 	}
 	return c
 }
--- a/io/cvpeers/cvpeers.go
+++ b/io/cvpeers/cvpeers.go
@@ -157,7 +157,7 @@
 
 // dial opens a link and serves it until it breaks.
 func (p *Peers) dial(ctx context.Context, process, address string) error {
-	dialer := &net.Dialer{Timeout: dialTime}
+	dialer := &net.Dialer{Timeout: dialTime, LocalAddr: p.source()}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return err
@@ -179,6 +179,15 @@
 	return nil
 }
 
+// source is the address that links are opened from: the one that others know, on any port.
+func (p *Peers) source() net.Addr {
+	own, ok := p.Listener.Addr().(*net.TCPAddr)
+	if !ok || own.IP.IsUnspecified() {
+		return nil
+	}
+	return &net.TCPAddr{IP: own.IP}
+}
+
 func configuration() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.KeepAliveInterval = keepAliveTime
--- a/io/cvreport/cvreport.go
+++ b/io/cvreport/cvreport.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"comfreyvale/io/cvtold"
 )
 
 // The results that a call can have for its caller.
@@ -38,18 +40,10 @@
 // Report holds counts and latencies by kind of call, and what keyed callers were told.
 type Report struct {
 	kinds  map[string]*kind
-	told   map[string][]Told
+	told   map[string][]cvtold.Told
 	causes map[string]int
 }
 
-// Told is what the caller of a keyed call was told once.
-type Told struct {
-	// Result is one of the results above.
-	Result string
-	// Ran is the answer's word on whether the request ran, or empty.
-	Ran string
-}
-
 type kind struct {
 	latencies *hdrhistogram.Histogram
 	results   map[string]int
@@ -57,7 +51,7 @@
 
 // New returns an empty report.
 func New() *Report {
-	return &Report{kinds: make(map[string]*kind), told: make(map[string][]Told), causes: make(map[string]int)}
+	return &Report{kinds: make(map[string]*kind), told: make(map[string][]cvtold.Told), causes: make(map[string]int)}
 }
 
 // Add counts a call with its latency.
@@ -77,15 +71,15 @@
 }
 
 // Tell notes what the caller of a keyed call was told.
-func (r *Report) Tell(key, result, ran string) {
-	r.told[key] = append(r.told[key], Told{Result: result, Ran: ran})
+func (r *Report) Tell(key string, told cvtold.Told) {
+	r.told[key] = append(r.told[key], told)
 }
 
 // Cause counts a refusal's cause.
 func (r *Report) Cause(name, cause string) { r.causes[name+": "+cause]++ }
 
 // Told returns what each keyed caller was told, in order.
-func (r *Report) Told() map[string][]Told { return r.told }
+func (r *Report) Told() map[string][]cvtold.Told { return r.told }
 
 // Count is the number of calls of a kind with a result; the kind "all" counts every call.
 func (r *Report) Count(name, result string) int {
--- a/io/cvsettings/cvsettings.go
+++ b/io/cvsettings/cvsettings.go
@@ -28,13 +28,14 @@
 	{Path: "listen", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address for callers."},
 	{Path: "admin", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address for operators: status, explain, metrics, readiness."},
 	{Path: "peer", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address for the other balancers."},
+	{Path: "peerAdvertise", Kind: cvfield.Text, Default: "", Pattern: `|` + addressPattern, Allowed: addressAllowed, Effect: "Address that the other balancers reach the peer address by, where it differs."},
+	{Path: "logRetention", Kind: cvfield.Duration, Default: "1h", Min: "1s", Max: "720h", Effect: "How long the platform's log keeps records at least; checkpoints are written four times as often."},
 	{Path: "group", Kind: cvfield.Text, Default: "comfreyvale", Pattern: namePattern, Allowed: nameAllowed, Effect: "Group of the balancers in the platform's VM list."},
 	{Path: "log.address", Kind: cvfield.Text, Required: true, Pattern: urlPattern, Allowed: urlAllowed, Effect: "The platform's log service."},
 	{Path: "vmList.address", Kind: cvfield.Text, Required: true, Pattern: urlPattern, Allowed: urlAllowed, Effect: "The platform's VM list."},
 	{Path: "vmList.poll", Kind: cvfield.Duration, Default: "1s", Min: "100ms", Max: "1m", Effect: "How often the VM list is read."},
 	{Path: "gossip", Kind: cvfield.Duration, Default: "5ms", Min: "1ms", Max: "1s", Effect: "How often changes are told to the other balancers at most."},
 	{Path: "suspectAfter", Kind: cvfield.Duration, Default: "3s", Min: "500ms", Max: "1m", Effect: "How long a balancer must be unreachable for most others before it is taken out of the roster."},
-	{Path: "homes", Kind: cvfield.Count, Default: "8", Min: "1", Max: "64", Effect: "Balancers that are homes of keys at most. The same on all VMs."},
 	{Path: "journalInterval", Kind: cvfield.Duration, Default: "20ms", Min: "1ms", Max: "1s", Effect: "Time between two journal appends of one home at least; claims in between share one."},
 	{Path: "answerMemory", Kind: cvfield.Size, Default: "64MiB", Min: "1MiB", Max: "4GiB", Effect: "Bytes of answers that are held at a time until they are whole; further ones stream."},
 	{Path: "replayMemory", Kind: cvfield.Size, Default: "16MiB", Min: "1MiB", Max: "4GiB", Effect: "Bytes of answers that are kept for resends of their keys."},
@@ -93,6 +94,17 @@
 // Peer is the address for the other balancers.
 func (s *Settings) Peer() string { return s.values.Text("peer") }
 
+// PeerAdvertise is the address that the other balancers use.
+func (s *Settings) PeerAdvertise() string {
+	if a := s.values.Text("peerAdvertise"); a != "" {
+		return a
+	}
+	return s.Peer()
+}
+
+// LogRetention is how long the platform's log keeps records at least.
+func (s *Settings) LogRetention() time.Duration { return s.values.Duration("logRetention") }
+
 // Group is the balancers' group in the VM list.
 func (s *Settings) Group() string { return s.values.Text("group") }
 
@@ -111,9 +123,6 @@
 // SuspectAfter is how long a balancer must be unreachable before it leaves the roster.
 func (s *Settings) SuspectAfter() time.Duration { return s.values.Duration("suspectAfter") }
 
-// Homes is how many balancers are homes of keys at most.
-func (s *Settings) Homes() int { return s.values.Count("homes") }
-
 // JournalInterval is the shortest time between two journal appends.
 func (s *Settings) JournalInterval() time.Duration { return s.values.Duration("journalInterval") }
 
--- /dev/null
+++ b/proof/cluster_test.go
@@ -0,0 +1,267 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreyvale/io/cvoperator"
+	"comfreyvale/io/cvupstream"
+)
+
+const (
+	balancerCount = 6
+	upstreamCount = 8
+	readyTime     = 20 * time.Second
+	// basePort is the first port; each cluster takes the next hundred.
+	basePort = 23000
+)
+
+// long runs the proofs with more seeds.
+var long = flag.Int("seeds", 1, "number of seeds of each proof")
+
+var binaries string
+
+// TestMain builds the programs once.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	directory, err := os.MkdirTemp("", "proof")
+	if err != nil {
+		panic(err)
+	}
+	binaries = directory
+	build := exec.Command("go", "build", "-o", directory+"/", "comfreyvale/cmd/...")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	status := m.Run()
+	os.RemoveAll(directory)
+	os.Exit(status)
+}
+
+// cluster is a whole system of processes.
+type cluster struct {
+	t         *testing.T
+	directory string
+	port      int
+	links     *links
+	mu        sync.Mutex
+	processes map[string]*exec.Cmd
+	logs      map[string]*os.File
+	starts    int
+}
+
+var clusters int
+
+// newCluster starts the platform, the upstreams and all balancers, and publishes the examples.
+func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	c := &cluster{
+		t: t, directory: t.TempDir(), port: basePort + 100*(clusters%40),
+		processes: make(map[string]*exec.Cmd), logs: make(map[string]*os.File),
+	}
+	clusters++
+	c.links = newLinks(t, c.port)
+	t.Cleanup(c.stopAll)
+	c.start("platform", "comfreyvale-standin", "platform", "-log", c.address(0), "-list", c.address(1))
+	c.await("http://" + c.address(1) + "/vms")
+	for i := range upstreamCount {
+		c.startUpstream(i)
+	}
+	for i := range balancerCount {
+		c.startBalancer(i)
+	}
+	c.publish("first", "../examples/lanasur")
+	for i := range balancerCount {
+		c.await("http://" + c.admin(i) + "/ready")
+	}
+	c.awaitMembers(balancerCount)
+	return c
+}
+
+func (c *cluster) address(offset int) string { return fmt.Sprintf("127.0.0.1:%d", c.port+offset) }
+func (c *cluster) logURL() string            { return "http://" + c.address(0) }
+func (c *cluster) listURL() string           { return "http://" + c.address(1) }
+func (c *cluster) caller(i int) string       { return c.address(20 + i) }
+func (c *cluster) admin(i int) string        { return c.address(30 + i) }
+
+func (c *cluster) callers() []string {
+	var all []string
+	for i := range balancerCount {
+		all = append(all, c.caller(i))
+	}
+	return all
+}
+
+// start runs a program under a name.
+func (c *cluster) start(name, program string, args ...string) {
+	command := exec.Command(filepath.Join(binaries, program), args...)
+	out, err := os.OpenFile(filepath.Join(c.directory, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(c.t, err)
+	command.Stderr = out
+	command.Stdout = out
+	require.NoError(c.t, command.Start())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.processes[name] = command
+	c.logs[name] = out
+}
+
+func (c *cluster) startUpstream(i int) {
+	name := fmt.Sprintf("listings-%d", i+1)
+	c.start(name, "comfreyvale-standin", "upstream", "-name", name, "-group", "listings", "-slots", "4",
+		"-listen", c.address(50+i), "-list", c.listURL(), "-seed", fmt.Sprint(i+1))
+}
+
+func (c *cluster) startBalancer(i int) {
+	c.mu.Lock()
+	c.starts++
+	c.mu.Unlock()
+	name := fmt.Sprintf("entry-%d", i+1)
+	settings := fmt.Sprintf(`vm: %s
+dataCentre: dc-%d
+listen: %s
+admin: %s
+peer: %s
+peerAdvertise: %s
+log: {address: "%s"}
+vmList: {address: "%s", poll: 200ms}
+logRetention: 8s
+suspectAfter: 2s
+stop: {lag: 300ms, limit: 20s}
+`, name, i%3+1, c.caller(i), c.admin(i), c.links.real(i), c.links.advertised(i), c.logURL(), c.listURL())
+	path := filepath.Join(c.directory, name+".yaml")
+	require.NoError(c.t, os.WriteFile(path, []byte(settings), 0o600))
+	c.put(c.listURL()+"/vms/"+name, map[string]any{"group": "comfreyvale", "dataCentre": "dc-1", "address": c.admin(i)})
+	c.start(name, "comfreyvale", "run", "-settings", path)
+}
+
+func (c *cluster) put(url string, body any) {
+	c.send(http.MethodPut, url, body)
+}
+
+func (c *cluster) send(method, url string, body any) {
+	content, err := json.Marshal(body)
+	require.NoError(c.t, err)
+	request, err := http.NewRequest(method, url, bytes.NewReader(content))
+	require.NoError(c.t, err)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(c.t, err)
+	response.Body.Close()
+	require.Less(c.t, response.StatusCode, 300, url)
+}
+
+// log switches a fault of the log.
+func (c *cluster) log(fault map[string]any) { c.send(http.MethodPost, c.logURL()+"/control", fault) }
+
+// upstream switches a fault of an upstream.
+func (c *cluster) upstream(i int, fault map[string]any) {
+	c.send(http.MethodPost, "http://"+c.address(50+i)+"/control", fault)
+}
+
+func (c *cluster) publish(id string, directories ...string) {
+	args := append([]string{"publish", "-log", c.logURL(), "-vmList", c.listURL(), "-id", id, "-revision", id}, directories...)
+	out, err := exec.Command(filepath.Join(binaries, "comfreyvale"), args...).CombinedOutput()
+	require.NoError(c.t, err, string(out))
+}
+
+// await waits until a URL answers with success.
+func (c *cluster) await(url string) {
+	require.Eventually(c.t, func() bool {
+		response, err := http.Get(url)
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	}, readyTime, 20*time.Millisecond, url)
+}
+
+// awaitMembers waits until every balancer sees the number of members, all linked.
+func (c *cluster) awaitMembers(count int) {
+	operator := &cvoperator.Operator{}
+	require.Eventually(c.t, func() bool {
+		for i := range balancerCount {
+			s, err := operator.Status(context.Background(), c.admin(i))
+			if err != nil || len(s.Members) != count || len(s.Linked) != count-1 {
+				return false
+			}
+		}
+		return true
+	}, 2*readyTime, 50*time.Millisecond, "%d members", count)
+}
+
+func (c *cluster) process(name string) *exec.Cmd {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.processes[name]
+}
+
+func entry(i int) string { return fmt.Sprintf("entry-%d", i+1) }
+
+// kill ends a process at once.
+func (c *cluster) kill(name string) {
+	p := c.process(name)
+	require.NoError(c.t, p.Process.Kill())
+	_ = p.Wait()
+}
+
+// freeze stops a process for a time.
+func (c *cluster) freeze(name string, d time.Duration) {
+	p := c.process(name).Process
+	require.NoError(c.t, p.Signal(syscall.SIGSTOP))
+	time.Sleep(d)
+	require.NoError(c.t, p.Signal(syscall.SIGCONT))
+}
+
+// stop ends a process in order and returns its exit status.
+func (c *cluster) stop(name string) int {
+	p := c.process(name)
+	require.NoError(c.t, p.Process.Signal(syscall.SIGTERM))
+	_ = p.Wait()
+	return p.ProcessState.ExitCode()
+}
+
+func (c *cluster) stopAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, p := range c.processes {
+		if p.ProcessState == nil {
+			_ = p.Process.Signal(syscall.SIGCONT)
+			_ = p.Process.Kill()
+			_ = p.Wait()
+		}
+		c.logs[name].Close()
+	}
+	c.links.close()
+}
+
+// runs gathers what ran on all upstreams.
+func (c *cluster) runs() []cvupstream.Run {
+	var all []cvupstream.Run
+	for i := range upstreamCount {
+		response, err := http.Get("http://" + c.address(50+i) + "/control/runs")
+		require.NoError(c.t, err)
+		body, err := io.ReadAll(response.Body)
+		response.Body.Close()
+		require.NoError(c.t, err)
+		var some []cvupstream.Run
+		require.NoError(c.t, json.Unmarshal(body, &some))
+		all = append(all, some...)
+	}
+	return all
+}
