Make callers repeat orders, so that the proof catches unjournalled grants

Cause: the proof passed with a mutated home that grants from memory alone, as callers only sent an order again when its first sending failed.

--- a/io/cvload/calls.go
+++ b/io/cvload/calls.go
@@ -17,8 +17,11 @@
 	"comfreyvale/io/cvupstream"
 )
 
-// twinAttempt is the attempt number of a doubled call's second sending; resends have lower ones.
-const twinAttempt = 1003
+// The attempt numbers of sendings that are no resends; those have lower ones.
+const (
+	twinAttempt   = 1003
+	repeatAttempt = 1005
+)
 
 // make sends a call, and sends it again where the caller would.
 func (l *Load) make(ctx context.Context, c call) {
@@ -38,6 +41,10 @@
 		}
 	}
 	l.add(c, result, time.Since(c.due))
+	if c.repeat > 0 {
+		time.Sleep(c.repeat)
+		l.attempt(ctx, c, repeatAttempt)
+	}
 }
 
 // attempt sends a call once and says what the caller was told.
--- a/io/cvload/cvload.go
+++ b/io/cvload/cvload.go
@@ -26,6 +26,8 @@
 	maxInFlight = 20000
 	// connectionsPerTarget is how many idle connections to one target are kept.
 	connectionsPerTarget = 512
+	// longestRepeat is the longest time after which a call is repeated.
+	longestRepeat = 5 * time.Second
 	// lotCount is how many different lookups there are.
 	lotCount = 1000
 )
@@ -49,6 +51,8 @@
 	Resends int
 	// Doubles is the share of keyed calls that are sent through two targets at the same time.
 	Doubles float64
+	// Repeats is the share of keyed calls that are sent once more after a while, whatever became of them.
+	Repeats float64
 	// Seed makes the calls the same in each run.
 	Seed uint64
 	// Name begins keys and tags, so that several runs do not share any.
@@ -106,6 +110,7 @@
 	tag     string
 	key     string
 	double  bool
+	repeat  time.Duration
 	due     time.Time
 }
 
@@ -128,6 +133,9 @@
 	if p.Keyed {
 		c.key = c.tag
 		c.double = random.Float64() < l.Doubles
+		if random.Float64() < l.Repeats {
+			c.repeat = time.Duration(random.Float64() * float64(longestRepeat))
+		}
 	}
 	return c
 }
--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -168,11 +168,6 @@
 // log switches a fault of the log.
 func (c *cluster) log(fault map[string]any) { c.send(http.MethodPost, c.logURL()+"/control", fault) }
 
-// upstream switches a fault of an upstream.
-func (c *cluster) upstream(i int, fault map[string]any) {
-	c.send(http.MethodPost, "http://"+c.address(50+i)+"/control", fault)
-}
-
 func (c *cluster) publish(id string, directories ...string) {
 	args := append([]string{"publish", "-log", c.logURL(), "-vmList", c.listURL(), "-id", id, "-revision", id}, directories...)
 	out, err := exec.Command(filepath.Join(binaries, "comfreyvale"), args...).CombinedOutput()
