--- a/io/cvhomes/cvhomes.go
+++ b/io/cvhomes/cvhomes.go
@@ -68,7 +68,8 @@
 	gap         gap
 	gapNumber   int64
 	gaps        map[string]otherGap
-	vouched     map[string]bool
+	vouched     map[string]int
+	vouches     map[string][]int
 }
 
 // Run does the work of a home until the context ends.
@@ -96,7 +97,8 @@
 	h.waiters = make(map[string]chan *cvwire.ClaimReply)
 	h.imported = make(map[string]bool)
 	h.gaps = make(map[string]otherGap)
-	h.vouched = make(map[string]bool)
+	h.vouched = make(map[string]int)
+	h.vouches = make(map[string][]int)
 	h.view = cvview.New(0, nil, nil)
 	h.home = &cvhome.Home{}
 	h.wake = make(chan struct{}, 1)
@@ -302,8 +304,8 @@
 		now := time.Now()
 		reply.Claims = h.home.Handover(now, func(key string) bool { return h.view.Home(key) == request.GetIncarnation() })
 		reply.Gaps = h.openGaps(now)
-		for incarnation := range h.vouched {
-			reply.Vouched = append(reply.Vouched, incarnation)
+		for incarnation, homes := range h.vouched {
+			reply.Vouched = append(reply.Vouched, &cvwire.Vouch{Incarnation: incarnation, Homes: int32(homes)})
 		}
 	}
 	return reply
--- a/io/cvhomes/gaps.go
+++ b/io/cvhomes/gaps.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -23,8 +24,9 @@
 )
 
 // gap is this home's time of granting claims that its journal does not hold yet, while the log does not take them.
-// Every other home must be at the same epoch and have given its word to remember the gap, lately.
-// If this home is lost, they then treat unknown keys of its range as keys that may have run.
+// Most homes, this one included, must be at the same epoch and have given their word to remember the gap, lately.
+// If this home is lost, its successors hear from so many that one of them remembers, and then treat unknown keys of
+// its range as keys that may have run; a successor that hears from too few treats them so in any case.
 type gap struct {
 	waitingSince time.Time
 	open         bool
@@ -46,13 +48,30 @@
 	if !h.gap.open || h.gap.epoch != h.view.Epoch() || !h.ready || h.closing {
 		return false
 	}
+	words := 1
 	for _, home := range h.view.Homes() {
 		word, given := h.gap.words[home]
-		if home != h.incarnation && (!given || now.Sub(word) > gapLife) {
-			return false
+		if home != h.incarnation && given && now.Sub(word) < gapLife {
+			words++
 		}
 	}
-	return true
+	return words >= majority(len(h.view.Homes()))
+}
+
+// majority is more than half.
+func majority(homes int) int { return homes/2 + 1 }
+
+// vouchedFor says whether so many homes beside an incarnation have spoken that one of them would know of its gap.
+func (h *Homes) vouchedFor(incarnation string) bool {
+	vouches := h.vouches[incarnation]
+	if homes, own := h.vouched[incarnation]; own {
+		vouches = append(slices.Clone(vouches), homes)
+	}
+	if len(vouches) == 0 {
+		return false
+	}
+	homes := slices.Max(vouches)
+	return len(vouches)+majority(homes) > homes
 }
 
 // keepGap opens a gap when claims wait too long, renews it, and closes it when the journal holds all claims.
@@ -204,8 +223,8 @@
 			h.gaps[g.GetIncarnation()] = otherGap{homes: g.GetHomes(), until: until}
 		}
 	}
-	for _, incarnation := range reply.GetVouched() {
-		h.vouched[incarnation] = true
+	for _, v := range reply.GetVouched() {
+		h.vouches[v.GetIncarnation()] = append(h.vouches[v.GetIncarnation()], int(v.GetHomes()))
 	}
 }
 
@@ -223,7 +242,7 @@
 			continue
 		}
 		g, open := h.gaps[incarnation]
-		if !open && !h.vouched[incarnation] {
+		if !open && !h.vouchedFor(incarnation) {
 			g = otherGap{until: time.UnixMilli(d.GetAtUnixMs()).Add(gapLife + h.LongestWindow())}
 		}
 		if now.Before(g.until) {
--- a/io/cvhomes/takeover.go
+++ b/io/cvhomes/takeover.go
@@ -48,6 +48,7 @@
 		return
 	}
 	h.homes = view.Homes()
+	h.vouches = make(map[string][]int)
 	h.ready = false
 	h.round++
 	go h.takeOver(h.ctx, view, incarnation, h.round)
@@ -72,6 +73,7 @@
 	h.home.Import(now, earlier.Handover(now, func(string) bool { return true }))
 	h.imported = make(map[string]bool)
 	h.gap = gap{}
+	h.vouched = make(map[string]int)
 	if incarnation != "" {
 		go h.journal(h.ctx, h.home, incarnation)
 	}
@@ -105,7 +107,7 @@
 	}
 	h.coverGaps(time.Now(), view)
 	for _, home := range view.Homes() {
-		h.vouched[home] = true
+		h.vouched[home] = max(h.vouched[home], len(view.Homes()))
 	}
 	for _, d := range unread {
 		h.imported[d.GetIncarnation()] = true
--- a/io/cvload/cvload.go
+++ b/io/cvload/cvload.go
@@ -57,6 +57,8 @@
 	Seed uint64
 	// Name begins keys and tags, so that several runs do not share any.
 	Name string
+	// Live says whether a target takes new calls, as the platform's balancer would know; nil takes all as live.
+	Live func(target string) bool
 	// ByTarget sends each call to the target that this returns, instead of in turn; for calling upstreams directly.
 	ByTarget func(profile cvprofile.Profile, number uint64) string
 
@@ -159,7 +161,14 @@
 	if l.ByTarget != nil {
 		return l.ByTarget(c.profile, c.number+uint64(attempt))
 	}
-	return l.Targets[(c.number+uint64(attempt))%uint64(len(l.Targets))]
+	first := c.number + uint64(attempt)
+	for i := range uint64(len(l.Targets)) {
+		target := l.Targets[(first+i)%uint64(len(l.Targets))]
+		if l.Live == nil || l.Live(target) {
+			return target
+		}
+	}
+	return l.Targets[first%uint64(len(l.Targets))]
 }
 
 func (l *Load) add(c call, result string, latency time.Duration) {
