--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: build demo test check path bench prove reference
+.PHONY: build demo test check path prove bench capacity reference
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -22,3 +22,12 @@
 
 prove:
 	$(GO) test ./proof -v -count=1 -timeout 60m -args -seeds $(or $(SEEDS),3)
+
+bench:
+	$(GO) test ./proof -run XXX -bench Policies -benchtime 1x -timeout 30m
+
+capacity:
+	$(GO) test ./proof -run XXX -bench Capacity -benchtime 1x -timeout 30m
+
+reference:
+	$(GO) run ./cmd/comfreyvale reference > docs/REFERENCE.md
--- a/cmd/comfreyvale/operation.go
+++ b/cmd/comfreyvale/operation.go
@@ -166,7 +166,7 @@
 func (*loadCommand) Name() string     { return "load" }
 func (*loadCommand) Synopsis() string { return "send load and check each answer" }
 func (*loadCommand) Usage() string {
-	return `load -targets ADDRESS[,ADDRESS...] [-profile lanasur|cedarstep] [-rate N] [-duration D] [-seed N] [-json]
+	return `load -targets ADDRESS[,ADDRESS...] [-profile lanasur|cedarstep|bare] [-rate N] [-duration D] [-seed N] [-json]
   Sends calls at a fixed rate, counts latency from when each call was due, and checks that each answer is
   whole and the call's own. With -direct URL of a VM list, calls go to the upstreams themselves, for comparison.
   Example: comfreyvale load -targets 10.0.1.1:8080,10.0.1.2:8080 -profile lanasur -rate 2000 -duration 30s
@@ -177,7 +177,7 @@
 // SetFlags defines the command's flags.
 func (c *loadCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.targets, "targets", "", "addresses to send to in turn, separated by commas")
-	f.StringVar(&c.profile, "profile", "lanasur", "kinds of call: lanasur or cedarstep")
+	f.StringVar(&c.profile, "profile", "lanasur", "kinds of call: lanasur, cedarstep, or bare lookups without work")
 	f.Float64Var(&c.load.Rate, "rate", 500, "calls a second")
 	f.DurationVar(&c.load.Duration, "duration", 10*time.Second, "how long to send")
 	f.DurationVar(&c.load.Timeout, "timeout", 10*time.Second, "how long a caller waits")
@@ -192,9 +192,11 @@
 	if (c.targets == "") == (c.direct == "") {
 		return usage("load: either -targets or -direct is needed")
 	}
-	profiles := map[string][]cvprofile.Profile{"lanasur": cvprofile.Lanasur(), "cedarstep": cvprofile.Cedarstep()}[c.profile]
+	profiles := map[string][]cvprofile.Profile{
+		"lanasur": cvprofile.Lanasur(), "cedarstep": cvprofile.Cedarstep(), "bare": cvprofile.Bare(),
+	}[c.profile]
 	if profiles == nil {
-		return usage("load: -profile is lanasur or cedarstep")
+		return usage("load: -profile is lanasur, cedarstep or bare")
 	}
 	c.load.Targets = strings.Split(c.targets, ",")
 	if c.direct != "" {
--- a/core/cvadmitter/cvadmitter.go
+++ b/core/cvadmitter/cvadmitter.go
@@ -7,6 +7,7 @@
 	"comfreyvale"
 	"comfreyvale/core/cvclass"
 	"comfreyvale/core/cvqueue"
+	"comfreyvale/core/cvticket"
 )
 
 // Admitter holds the calls of one service in one balancer. It is not safe for concurrent use.
@@ -16,30 +17,20 @@
 	// QueueLimit is how many calls wait at most.
 	QueueLimit int
 
-	queue     cvqueue.Queue[*Ticket]
+	queue     cvqueue.Queue[*cvticket.Ticket]
 	held      map[string]int
 	slots     int
 	upstreams int
 	balancers int
+	latency   float64
 }
 
-// Ticket is one call that wants a slot.
-type Ticket struct {
-	class    cvclass.Class
-	avoid    []string
-	deadline time.Time
-	order    uint64
-	vm       comfreyvale.VM
-	granted  bool
-}
-
-// NewTicket returns a ticket for a call of a class that must not go to the avoided upstreams.
-func NewTicket(class cvclass.Class, avoid []string, deadline time.Time) *Ticket {
-	return &Ticket{class: class, avoid: avoid, deadline: deadline}
-}
-
-// Upstream is the upstream whose slot was granted, or false while the ticket waits.
-func (t *Ticket) Upstream() (comfreyvale.VM, bool) { return t.vm, t.granted }
+const (
+	// latencyGain is the weight of a new latency in the average that waits are estimated by.
+	latencyGain = 0.05
+	// waitShare is the part of a call's remaining time that it may spend in the queue.
+	waitShare = 0.5
+)
 
 // Update replaces the upstreams and the number of live balancers, this one included.
 func (a *Admitter) Update(now time.Time, vms []comfreyvale.VM, slots, balancers int) {
@@ -49,42 +40,50 @@
 	a.balancers = max(balancers, 1)
 }
 
-// Enter grants a slot at once, or queues the ticket, or returns false when the queue is full.
-// A ticket never overtakes one that waits with the same or a better priority.
-func (a *Admitter) Enter(now time.Time, draw uint64, t *Ticket) bool {
+// Enter grants a slot at once, or queues the ticket, or returns false when the queue is full or its wait would be too
+// long for the call's deadline. A ticket never overtakes one that waits with the same or a better priority.
+func (a *Admitter) Enter(now time.Time, draw uint64, t *cvticket.Ticket) bool {
 	if a.queue.Len() == 0 && a.grant(now, draw, t) {
 		return true
 	}
+	if a.Wait() > time.Duration(waitShare*float64(t.Deadline().Sub(now))) {
+		return false
+	}
 	a.queue.Limit = a.QueueLimit
-	order, ok := a.queue.Push(t, t.class.Priority(), t.deadline)
-	t.order = order
+	order, ok := a.queue.Push(t, t.Class().Priority(), t.Deadline())
+	t.Queue(order)
 	return ok
 }
 
+// Wait is the time that one more call would wait in the queue, by recent latencies and this balancer's part of the slots.
+func (a *Admitter) Wait() time.Duration {
+	own := max(1, a.slots*a.upstreams/max(a.balancers, 1))
+	return time.Duration(a.latency * float64(a.queue.Len()) / float64(own))
+}
+
 // Next grants a slot to the first waiting ticket that can have one, or returns false.
-func (a *Admitter) Next(now time.Time, draw uint64) (*Ticket, bool) {
-	return a.queue.Pop(func(t *Ticket) (fit, goOn bool) {
+func (a *Admitter) Next(now time.Time, draw uint64) (*cvticket.Ticket, bool) {
+	return a.queue.Pop(func(t *cvticket.Ticket) (fit, goOn bool) {
 		if a.grant(now, draw, t) {
 			return true, false
 		}
-		return false, a.held[t.class.Name()] >= a.classLimit(t.class) || len(t.avoid) > 0
+		return false, a.held[t.Class().Name()] >= a.classLimit(t.Class()) || len(t.Avoid()) > 0
 	})
 }
 
-func (a *Admitter) grant(now time.Time, draw uint64, t *Ticket) bool {
-	if a.held[t.class.Name()] >= a.classLimit(t.class) {
+func (a *Admitter) grant(now time.Time, draw uint64, t *cvticket.Ticket) bool {
+	if a.held[t.Class().Name()] >= a.classLimit(t.Class()) {
 		return false
 	}
-	vm, ok := a.Picker.Pick(now, draw, t.avoid)
+	vm, ok := a.Picker.Pick(now, draw, t.Avoid())
 	if !ok {
 		return false
 	}
 	if a.held == nil {
 		a.held = make(map[string]int)
 	}
-	a.held[t.class.Name()]++
-	t.vm = vm
-	t.granted = true
+	a.held[t.Class().Name()]++
+	t.Grant(vm)
 	return true
 }
 
@@ -99,14 +98,19 @@
 }
 
 // Leave takes a waiting ticket out of the queue; it returns false when the ticket no longer waits.
-func (a *Admitter) Leave(t *Ticket) bool {
-	return !t.granted && a.queue.Remove(t.order)
+func (a *Admitter) Leave(t *cvticket.Ticket) bool {
+	_, granted := t.Upstream()
+	return !granted && a.queue.Remove(t.Order())
 }
 
 // Done gives a granted slot back.
-func (a *Admitter) Done(now time.Time, t *Ticket, outcome comfreyvale.Outcome) {
-	a.held[t.class.Name()]--
-	a.Picker.Done(now, t.vm.Name(), outcome)
+func (a *Admitter) Done(now time.Time, t *cvticket.Ticket, outcome comfreyvale.Outcome) {
+	vm, _ := t.Upstream()
+	a.held[t.Class().Name()]--
+	a.Picker.Done(now, vm.Name(), outcome)
+	if outcome.Result() == comfreyvale.ResultAnswered {
+		a.latency += latencyGain * (float64(outcome.Latency()) - a.latency)
+	}
 }
 
 // Waiting is the number of tickets in the queue.
--- a/core/cvholder/cvholder.go
+++ b/core/cvholder/cvholder.go
@@ -73,15 +73,6 @@
 	return e.state, e.answer
 }
 
-// Key returns the key of a grant of this process, or an empty text.
-func (h *Holder) Key(grant string) string {
-	e := h.byGrant[grant]
-	if e == nil {
-		return ""
-	}
-	return e.key.Text()
-}
-
 // Same says whether a key is known with the same digest.
 func (h *Holder) Same(key comfreyvale.Key) bool {
 	e := h.byKey[key.Text()]
@@ -107,6 +98,37 @@
 	e.answer = answer
 }
 
+// Adopt takes over an answer from a holder that stops. It returns false when there is no room or the key is known here.
+func (h *Holder) Adopt(now time.Time, key comfreyvale.Key, grant string, answer comfreyvale.Answer) bool {
+	if h.byKey[key.Text()] != nil || h.bytes+int64(len(answer.Body())) > h.AnswerBudget {
+		return false
+	}
+	h.Begin(now, key, grant)
+	h.Run(grant)
+	h.Finish(grant, answer)
+	return true
+}
+
+// Answered returns the grants whose answers are kept.
+func (h *Holder) Answered() []string {
+	var grants []string
+	for _, e := range h.order {
+		if e.state == Answered {
+			grants = append(grants, e.grant)
+		}
+	}
+	return grants
+}
+
+// KeyOf returns the whole key of a grant, or false when it is not known.
+func (h *Holder) KeyOf(grant string) (comfreyvale.Key, bool) {
+	e := h.byGrant[grant]
+	if e == nil {
+		return comfreyvale.Key{}, false
+	}
+	return e.key, true
+}
+
 // Lose ends a running grant without an answer.
 func (h *Holder) Lose(grant string) { h.move(grant, Running, Lost) }
 
--- a/core/cvhome/cvhome.go
+++ b/core/cvhome/cvhome.go
@@ -151,6 +151,16 @@
 	h.queue = append(h.queue, c.message())
 }
 
+// Reassign notes that another process holds a grant's answer now. It returns whether the grant is known.
+func (h *Home) Reassign(grant, holder string) bool {
+	c := h.grants[grant]
+	if c == nil {
+		return false
+	}
+	c.holder = holder
+	return true
+}
+
 // Batch returns the next journal record to append, or nil when there is none or one is under way.
 func (h *Home) Batch() *cvwire.JournalRecord {
 	if h.flight != nil || len(h.queue) == 0 || h.sealed {
--- a/core/cvpicker/cvpicker.go
+++ b/core/cvpicker/cvpicker.go
@@ -48,6 +48,7 @@
 	byName    map[string]*upstream
 	fleet     float64
 	ejections int
+	news      []string
 }
 
 // Update replaces the set of upstreams; what is known of those that stay is kept.
@@ -170,6 +171,14 @@
 	u.ejected = true
 	u.ejectedUntil = now.Add(p.EjectTime)
 	p.ejections++
+	p.news = append(p.news, u.vm.Name())
+}
+
+// Ejections returns the upstreams that were ejected since it was last asked.
+func (p *Picker) Ejections() []string {
+	news := p.news
+	p.news = nil
+	return news
 }
 
 // Drain marks an upstream as draining until the sign is old. It returns whether the mark is new.
--- a/core/cvrefusal/cvrefusal.go
+++ b/core/cvrefusal/cvrefusal.go
@@ -67,7 +67,7 @@
 		return http.StatusBadRequest
 	case comfreyvale.CauseKeyReused:
 		return http.StatusUnprocessableEntity
-	case comfreyvale.CauseInProgress, comfreyvale.CauseClaimWindow:
+	case comfreyvale.CauseInProgress:
 		return http.StatusConflict
 	case comfreyvale.CauseDeadline:
 		return http.StatusGatewayTimeout
--- /dev/null
+++ b/core/cvrobin/cvrobin.go
@@ -0,0 +1,31 @@
+// Package cvrobin is the routing policy that goes through the upstreams in turn, for comparison.
+package cvrobin
+
+import (
+	"time"
+
+	"comfreyvale"
+	"comfreyvale/core/cvtally"
+)
+
+// Picker chooses in turn.
+type Picker struct {
+	cvtally.Tally
+
+	next int
+}
+
+// Pick chooses the next upstream.
+func (p *Picker) Pick(_ time.Time, _ uint64, avoid []string) (comfreyvale.VM, bool) {
+	open := p.Open(avoid)
+	if len(open) == 0 {
+		return comfreyvale.VM{}, false
+	}
+	p.next++
+	vm := open[p.next%len(open)]
+	p.Begin(vm)
+	return vm, true
+}
+
+// String names the policy.
+func (p *Picker) String() string { return "robin" }
--- a/core/cvvalues/cvvalues.go
+++ b/core/cvvalues/cvvalues.go
@@ -35,9 +35,6 @@
 // SetLen stores the number of items of a list.
 func (v *Values) SetLen(path string, length int) { v.lengths[path] = length }
 
-// Has says whether the document itself holds the field.
-func (v *Values) Has(path string) bool { return v.entries[path].line > 0 }
-
 // Text returns a text field.
 func (v *Values) Text(path string) string { return v.entries[path].written }
 
--- a/errors.go
+++ b/errors.go
@@ -12,7 +12,6 @@
 	KindUncertain   Kind = "uncertain"
 	KindTimeout     Kind = "timeout"
 	KindExhausted   Kind = "exhausted"
-	KindStopped     Kind = "stopped"
 )
 
 // Fault is what every package's error type offers: the operation that failed and the kind of failure.
--- /dev/null
+++ b/io/cvbalancer/causes_test.go
@@ -0,0 +1,127 @@
+package cvbalancer_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreyvale"
+	"comfreyvale/io/cvoperator"
+)
+
+// TestCauses puts a fault in, sends a call, and asks what decided it: the setting with file, line, revision and author,
+// or the condition with its evidence, and no other cause.
+func TestCauses(t *testing.T) {
+	lookup := func(s *system) reply { return s.send(0, "GET", "/lots/1?workMs=1", nil) }
+	cases := map[string]struct {
+		service   string
+		fault     func(s *system)
+		call      func(s *system) reply
+		cause     comfreyvale.Cause
+		setting   string
+		line      float64
+		condition string
+		ran       string
+	}{
+		"no key": {
+			service: "requireKey: true\n", cause: comfreyvale.CauseKeyRequired, setting: "requireKey", line: 4, ran: "no",
+			call: func(s *system) reply { return s.send(0, "POST", "/orders", nil) },
+		},
+		"no upstream": {
+			fault: func(s *system) {
+				s.publish("other group", 1, "service: s\nhost: h.example\ngroup: nobody\n")
+				time.Sleep(300 * time.Millisecond)
+			},
+			call: lookup, cause: comfreyvale.CauseNoUpstream, setting: "group", line: 3, ran: "no",
+		},
+		"too slow": {
+			service: "timeout: 50ms\n", cause: comfreyvale.CauseDeadline, setting: "timeout", line: 4, ran: "unknown",
+			call: func(s *system) reply { return s.send(0, "GET", "/lots/1?workMs=400", nil) },
+		},
+		"no slot in time": {
+			service: "slots: 1\ntimeout: 100ms\nhedgeQuantile: 100%\n", cause: comfreyvale.CauseUpstreamsFull, setting: "slots", line: 4, ran: "no",
+			fault: func(s *system) {
+				for range 2 {
+					go s.send(0, "GET", "/lots/1?workMs=3000", map[string]string{"Comfreyvale-Timeout": "3000"})
+				}
+				s.publish("longer", 1, "service: s\nhost: h.example\ngroup: g\nslots: 1\ntimeout: 5s\nhedgeQuantile: 100%\n")
+				time.Sleep(300 * time.Millisecond)
+				for range 2 {
+					go s.send(0, "GET", "/lots/1?workMs=3000", nil)
+				}
+				time.Sleep(300 * time.Millisecond)
+			},
+			call: func(s *system) reply {
+				return s.send(0, "GET", "/lots/2?workMs=1", map[string]string{"Comfreyvale-Timeout": "200"})
+			},
+		},
+		"upstream broke": {
+			service: "retryShare: 0%\nretryBurst: 0\n", cause: comfreyvale.CauseUpstreamBroke, condition: "upstream g-", ran: "unknown",
+			fault: func(s *system) { s.control(0, `{"break":"midBody"}`); s.control(1, `{"break":"midBody"}`) }, call: lookup,
+		},
+		"unframed": {
+			service: "retryShare: 0%\nretryBurst: 0\n", cause: comfreyvale.CauseAnswerUnframed, condition: "neither a length nor chunks", ran: "unknown",
+			fault: func(s *system) { s.control(0, `{"break":"unframed"}`); s.control(1, `{"break":"unframed"}`) }, call: lookup,
+		},
+		"refused unrun": {
+			service: "retryShare: 0%\nretryBurst: 0\n", cause: comfreyvale.CauseUpstreamRefused, condition: "refused the request unrun", ran: "no",
+			fault: func(s *system) {
+				for i := range 2 {
+					s.control(i, `{"drain":true,"refuseWhileDraining":true}`)
+				}
+			},
+			call: lookup,
+		},
+		"too large": {
+			service: "requestLimit: 0B\n", cause: comfreyvale.CauseRequestTooLarge, setting: "requestLimit", line: 4, ran: "no",
+			call: func(s *system) reply { return s.sendBody(0, "POST", "/a", "x") },
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t, 1, 2, c.service)
+			if c.fault != nil {
+				c.fault(s)
+			}
+			r := c.call(s)
+			require.NoError(t, r.err)
+			require.Equal(t, c.ran, r.header.Get("Comfreyvale-Ran"), r.body)
+			found, err := (&cvoperator.Operator{}).Explain(context.Background(), s.admins[0], r.header.Get("Comfreyvale-Request-Id"))
+			require.NoError(t, err)
+			require.NotEmpty(t, found)
+			last := found[len(found)-1]
+			require.Equal(t, string(c.cause), last["cause"], r.body)
+			if c.setting != "" {
+				require.Equal(t, c.setting, last["setting"])
+				require.Equal(t, c.line, last["line"])
+				require.Equal(t, "s/comfreyvale.yaml", last["file"])
+				require.Equal(t, "tester", last["author"])
+				require.True(t, strings.HasPrefix(last["revision"].(string), "r-"))
+			}
+			if c.condition != "" {
+				require.Contains(t, last["condition"], c.condition)
+			}
+		})
+	}
+}
+
+// TestHandedOverAnswer stops the balancer that ran an order: a resend through the other one gets the first answer.
+func TestHandedOverAnswer(t *testing.T) {
+	s := newSystem(t, 2, 2, "")
+	for i := range 8 {
+		key := map[string]string{"Idempotency-Key": strings.Repeat("k", i+1)}
+		first := s.send(0, "POST", "/orders", key)
+		require.Equal(t, 200, first.status, first.body)
+	}
+	s.stops[0]()
+	for i := range 8 {
+		key := strings.Repeat("k", i+1)
+		again := s.send(1, "POST", "/orders", map[string]string{"Idempotency-Key": key})
+		require.Equal(t, 200, again.status, again.body)
+		require.Equal(t, "true", again.header.Get("Comfreyvale-Replayed"))
+		require.Equal(t, 1, s.runs(key))
+	}
+}
--- a/io/cvbalancer/cluster.go
+++ b/io/cvbalancer/cluster.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"net"
-	"os"
 	"slices"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/pkg/errors"
 
 	"comfreyvale"
 	"comfreyvale/core/cvview"
@@ -18,6 +14,7 @@
 	"comfreyvale/io/cvclaims"
 	"comfreyvale/io/cvgossip"
 	"comfreyvale/io/cvhomes"
+	"comfreyvale/io/cvkeys"
 	"comfreyvale/io/cvmember"
 	"comfreyvale/io/cvpeers"
 )
@@ -25,6 +22,8 @@
 const (
 	// leaveTime is how long leaving the roster in order may take.
 	leaveTime = 5 * time.Second
+	// handOverTime is how long handing finished answers over may take.
+	handOverTime = 5 * time.Second
 	// checkpointsPerRetention is how many checkpoints are written in the time that the log keeps records.
 	checkpointsPerRetention = 4
 	// shortestWindow is the claim window that lost journals are judged by when no service says more.
@@ -33,7 +32,10 @@
 
 // buildCluster makes the parts that speak with the other balancers.
 func (b *Balancer) buildCluster(listener net.Listener) error {
-	secure, err := b.peerTLS()
+	keys := &cvkeys.Keys{
+		Certificate: b.Settings.PeerCertificate(), Key: b.Settings.PeerKey(), Authority: b.Settings.PeerAuthority(), Name: b.Settings.Group(),
+	}
+	secure, err := keys.Mutual()
 	if err != nil {
 		return err
 	}
@@ -55,35 +57,14 @@
 	return nil
 }
 
-// peerTLS returns the configuration of the peer links, which prove both sides, or nil for plain links.
-func (b *Balancer) peerTLS() (*tls.Config, error) {
-	if b.Settings.PeerCertificate() == "" {
-		return nil, nil
-	}
-	certificate, err := tls.LoadX509KeyPair(b.Settings.PeerCertificate(), b.Settings.PeerKey())
-	if err != nil {
-		return nil, fail("peerTls", comfreyvale.KindInvalid, err)
-	}
-	authority, err := os.ReadFile(b.Settings.PeerAuthority())
-	if err != nil {
-		return nil, fail("peerTls", comfreyvale.KindInvalid, err)
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(authority) {
-		return nil, fail("peerTls", comfreyvale.KindInvalid, errors.Errorf("%s holds no certificate", b.Settings.PeerAuthority()))
-	}
-	return &tls.Config{
-		MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{certificate},
-		ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: pool, RootCAs: pool, ServerName: b.Settings.Group(),
-	}, nil
-}
-
 // handle answers a peer.
 func (b *Balancer) handle(ctx context.Context, from string, request *cvwire.PeerRequest) *cvwire.PeerReply {
 	switch r := request.GetRequest().(type) {
 	case *cvwire.PeerRequest_Gossip:
 		b.hear(from, r.Gossip)
 		return nil
+	case *cvwire.PeerRequest_Settle:
+		return &cvwire.PeerReply{Reply: &cvwire.PeerReply_Settle{Settle: b.settle(r.Settle)}}
 	case *cvwire.PeerRequest_Answer:
 		return &cvwire.PeerReply{Reply: &cvwire.PeerReply_Answer{Answer: b.claims.Answer(ctx, r.Answer)}}
 	}
@@ -231,3 +212,20 @@
 	}
 	b.Logger.WithFields(log.Fields{"incarnation": b.membership.Incarnation()}).Info("left the roster")
 }
+
+// settle takes over an answer whose key has its home here. Without room for it the answer is lost, and the key stays held.
+func (b *Balancer) settle(request *cvwire.SettleRequest) *cvwire.SettleReply {
+	if !b.homes.Reassign(request.GetGrant()) {
+		return &cvwire.SettleReply{}
+	}
+	b.claims.Adopt(time.Now(), request)
+	return &cvwire.SettleReply{Accepted: true}
+}
+
+// handOver gives the finished answers to their keys' homes, for resends that come after this process is gone.
+func (b *Balancer) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTime)
+	defer cancel()
+	sent := b.claims.HandOver(ctx, b.homes.Settle)
+	b.Logger.WithField("answers", sent).Info("answers handed over")
+}
--- a/io/cvbalancer/cvbalancer.go
+++ b/io/cvbalancer/cvbalancer.go
@@ -19,7 +19,12 @@
 	"comfreyvale/core/cvcauses"
 	"comfreyvale/core/cvconfiguration"
 	"comfreyvale/core/cvfault"
+	"comfreyvale/core/cvleast"
+	"comfreyvale/core/cvpicker"
+	"comfreyvale/core/cvprobing"
 	"comfreyvale/core/cvquarantine"
+	"comfreyvale/core/cvrandom"
+	"comfreyvale/core/cvrobin"
 	"comfreyvale/core/cvservice"
 	"comfreyvale/io/cvadmin"
 	"comfreyvale/io/cvclaims"
@@ -44,6 +49,10 @@
 	maxHeaderBytes = 64 << 10
 	// tickTime is the time between two looks at what only the passing of time changes.
 	tickTime = 20 * time.Millisecond
+	// expireTime is the time between two looks for what can be forgotten.
+	expireTime = time.Second
+	// probeTime is the time between two rounds of measuring requests of a probing policy.
+	probeTime = 2 * time.Millisecond
 	// rememberedDecisions is how many decisions can be explained.
 	rememberedDecisions = 20000
 )
@@ -66,10 +75,7 @@
 	// Logger takes lines for changes of state.
 	Logger log.Interface
 	// Tracer makes spans.
-	Tracer trace.Tracer
-	// Policy makes the pickers; nil takes the default policy.
-	Policy func(*cvservice.Service) comfreyvale.Picker
-
+	Tracer     trace.Tracer
 	process    string
 	metrics    *cvmetrics.Metrics
 	recorder   *recorder
@@ -116,7 +122,7 @@
 	defer stop()
 	group, background := errgroup.WithContext(background)
 	for _, run := range []func(context.Context) error{
-		b.homes.Run, b.follower.Run, b.membership.Run, b.peers.Run, b.gossip.Run, b.pollVMs, b.tick, b.checkpoint,
+		b.homes.Run, b.follower.Run, b.membership.Run, b.peers.Run, b.gossip.Run, b.pollVMs, b.tick, b.checkpoint, b.probe,
 	} {
 		group.Go(func() error { return run(background) })
 	}
@@ -162,7 +168,7 @@
 	b.process = newProcess(b.Settings.VM(), time.Now())
 	b.metrics = cvmetrics.New()
 	b.recorder = &recorder{Causes: &cvcauses.Causes{Limit: rememberedDecisions}, metrics: b.metrics}
-	b.table = &cvtable.Table{Policy: b.Policy}
+	b.table = &cvtable.Table{Policy: policy(b.Settings.Policy()), Ejected: b.ejected}
 	b.follower = &cvfollower.Follower{Log: b.Log, Metrics: b.metrics, Logger: b.Logger, Changed: b.changed}
 	if err := b.buildCluster(peers); err != nil {
 		return err
@@ -178,6 +184,26 @@
 	return nil
 }
 
+// probesPerCall is how many measuring requests the probing policy sends for each call.
+const probesPerCall = 1
+
+// policy returns what makes the pickers of a policy.
+func policy(name string) func(*cvservice.Service) comfreyvale.Picker {
+	return func(*cvservice.Service) comfreyvale.Picker {
+		switch name {
+		case "leastOfTwo":
+			return &cvleast.Picker{}
+		case "robin":
+			return &cvrobin.Picker{}
+		case "random":
+			return &cvrandom.Picker{}
+		case "probing":
+			return &cvprobing.Picker{ProbesPerCall: probesPerCall}
+		}
+		return &cvpicker.Picker{}
+	}
+}
+
 func (b *Balancer) changed(c *cvconfiguration.Configuration) { b.table.SetConfiguration(time.Now(), c) }
 
 func (b *Balancer) callerServer() *http.Server {
@@ -234,13 +260,32 @@
 func (b *Balancer) tick(ctx context.Context) error {
 	ticker := time.NewTicker(tickTime)
 	defer ticker.Stop()
+	var expired time.Time
 	for {
 		select {
 		case now := <-ticker.C:
 			b.table.Tick(now)
-			b.claims.Expire(now)
-			b.homes.Expire(now)
-			b.expire(now)
+			if now.Sub(expired) >= expireTime {
+				expired = now
+				b.expire(now)
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// probe sends the measuring requests of a policy that probes.
+func (b *Balancer) probe(ctx context.Context) error {
+	if b.Settings.Policy() != "probing" {
+		return nil
+	}
+	ticker := time.NewTicker(probeTime)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			b.table.Probe(ctx)
 		case <-ctx.Done():
 			return nil
 		}
@@ -263,6 +308,7 @@
 		b.Logger.WithField("cut", b.gateway.InFlight()).Warn("stop limit used")
 		server.Close()
 	}
+	b.handOver()
 	b.Logger.Info("stopped")
 }
 
--- a/io/cvbalancer/harness_test.go
+++ b/io/cvbalancer/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -34,6 +35,7 @@
 	log     *cvmemlog.Log
 	list    *cvmemlist.List
 	group   *cvsample.Group
+	logs    []*cutLog
 	callers []string
 	admins  []string
 	stops   []func()
@@ -78,7 +80,9 @@
 	settings, err := cvsettings.Parse("settings", []byte(content))
 	require.NoError(s.t, err)
 	logger := &cvlogger.Logger{Out: io.Discard}
-	b := &cvbalancer.Balancer{Settings: settings, Log: s.log, VMList: s.list, Logger: logger.New(), Tracer: noop.NewTracerProvider().Tracer("")}
+	own := &cutLog{Log: s.log}
+	s.logs = append(s.logs, own)
+	b := &cvbalancer.Balancer{Settings: settings, Log: own, VMList: s.list, Logger: logger.New(), Tracer: noop.NewTracerProvider().Tracer("")}
 	s.list.Put(comfreyvale.NewVM(settings.VM(), settings.Group(), "dc-1", addresses[1], false))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -141,10 +145,18 @@
 	return sendTo(s.client, s.callers[balancer], method, path, header)
 }
 
+func (s *system) sendBody(balancer int, method, path, body string) reply {
+	return sendWith(s.client, s.callers[balancer], method, path, body, nil)
+}
+
 func sendTo(client *http.Client, address, method, path string, header map[string]string) reply {
+	return sendWith(client, address, method, path, "", header)
+}
+
+func sendWith(client *http.Client, address, method, path, content string, header map[string]string) reply {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(""))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(content))
 	if err != nil {
 		return reply{err: err}
 	}
@@ -161,6 +173,17 @@
 	return reply{status: response.StatusCode, header: response.Header, body: string(body), err: err}
 }
 
+// issued asks a balancer for keys of its own.
+func (s *system) issued(balancer int) []string {
+	r := s.send(balancer, "POST", "/.well-known/comfreyvale/keys?count=2", nil)
+	require.NoError(s.t, r.err)
+	var answer struct {
+		Keys []string `json:"keys"`
+	}
+	require.NoError(s.t, json.Unmarshal([]byte(r.body), &answer))
+	return answer.Keys
+}
+
 // runs counts how often a key ran.
 func (s *system) runs(key string) int {
 	count := 0
--- a/io/cvbalancer/marks.go
+++ b/io/cvbalancer/marks.go
@@ -10,6 +10,7 @@
 
 	"comfreyvale"
 	"comfreyvale/core/cvcall"
+	"comfreyvale/core/cvservice"
 	"comfreyvale/core/cvwire"
 )
 
@@ -39,11 +40,22 @@
 	if d == nil || !d.Drain(now, upstream) {
 		return false
 	}
+	b.recorder.Record(now, comfreyvale.NewDecision(now, "", service, comfreyvale.CauseDraining).
+		WithUpstream(upstream).WithCondition("the upstream said so in an answer to one of the balancers"))
 	b.metrics.Changed("draining")
 	b.Logger.WithFields(log.Fields{"service": service, "upstream": upstream}).Info("upstream draining")
 	return true
 }
 
+// ejected notes that an upstream gets no calls because of its failures.
+func (b *Balancer) ejected(service *cvservice.Service, upstream string) {
+	now := time.Now()
+	b.recorder.Record(now, comfreyvale.NewDecision(now, "", service.Name(), comfreyvale.CauseEjected).
+		WithUpstream(upstream).WithSetting(service.Setting("ejectFailures")).WithCondition("it failed so many times in a row"))
+	b.metrics.Changed("ejected")
+	b.Logger.WithFields(log.Fields{"service": service.Name(), "upstream": upstream}).Warn("upstream ejected")
+}
+
 // died notes an upstream's death while it ran a call, and tells it to all balancers.
 func (b *Balancer) died(call *cvcall.Call, upstream string) {
 	subject := fingerprint(call)
@@ -131,11 +143,11 @@
 	return b.quarantine.List(time.Now())
 }
 
-// expire forgets old suspicions.
+// expire forgets what is old.
 func (b *Balancer) expire(now time.Time) {
+	b.claims.Expire(now)
+	b.homes.Expire(now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.quarantine.Expire(now)
 }
-
-var _ comfreyvale.Recorder = (*recorder)(nil)
--- a/io/cvclaims/cvclaims.go
+++ b/io/cvclaims/cvclaims.go
@@ -160,18 +160,22 @@
 func held(holder string, answer *cvwire.AnswerReply) comfreyvale.Claimed {
 	switch answer.GetState() {
 	case cvwire.AnswerReply_ANSWERED:
-		header := make(http.Header)
-		for _, h := range answer.GetHeaders() {
-			header.Add(h.GetName(), h.GetValue())
-		}
-		whole := comfreyvale.NewAnswer(int(answer.GetStatus()), header, answer.GetBody())
-		return comfreyvale.NewClaimed(comfreyvale.ClaimAnswered, "").WithAnswer(whole)
+		return comfreyvale.NewClaimed(comfreyvale.ClaimAnswered, "").WithAnswer(whole(answer))
 	case cvwire.AnswerReply_IN_PROGRESS:
 		return comfreyvale.NewClaimed(comfreyvale.ClaimInProgress, "balancer "+holder+" is running the call with this key")
 	}
 	return comfreyvale.NewClaimed(comfreyvale.ClaimUnknown, "balancer "+holder+" held this key and has no answer for it")
 }
 
+// whole turns a message into the answer that it carries.
+func whole(message *cvwire.AnswerReply) comfreyvale.Answer {
+	header := make(http.Header)
+	for _, h := range message.GetHeaders() {
+		header.Add(h.GetName(), h.GetValue())
+	}
+	return comfreyvale.NewAnswer(int(message.GetStatus()), header, message.GetBody())
+}
+
 func (c *Claims) run(grant string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -182,10 +186,10 @@
 func (c *Claims) giveUp(grant string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	key := c.holder.Key(grant)
+	key, _ := c.holder.KeyOf(grant)
 	c.holder.Release(grant)
 	c.notify()
-	return key
+	return key.Text()
 }
 
 func (c *Claims) abandon(key, grant string) {
@@ -231,7 +235,8 @@
 func (c *Claims) keyOf(grant string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.holder.Key(grant)
+	key, _ := c.holder.KeyOf(grant)
+	return key.Text()
 }
 
 // Answer tells another process what became of a grant of this one, and waits while it runs.
@@ -275,6 +280,39 @@
 	return reply
 }
 
+// HandOver sends all finished answers away, before this process stops, and returns how many were taken.
+func (c *Claims) HandOver(ctx context.Context, send func(context.Context, *cvwire.SettleRequest) bool) int {
+	c.mu.Lock()
+	grants := c.holder.Answered()
+	c.mu.Unlock()
+	sent := 0
+	for _, grant := range grants {
+		c.mu.Lock()
+		key, known := c.holder.KeyOf(grant)
+		_, answer := c.holder.GrantState(grant)
+		c.mu.Unlock()
+		if ctx.Err() != nil || !known {
+			break
+		}
+		request := &cvwire.SettleRequest{
+			Key: key.Text(), Grant: grant, Digest: key.Digest(), WindowMs: key.Window().Milliseconds(), Answer: answered(answer),
+		}
+		if send(ctx, request) {
+			sent++
+		}
+	}
+	return sent
+}
+
+// Adopt keeps an answer of a process that stops, and returns whether there was room for it.
+func (c *Claims) Adopt(now time.Time, request *cvwire.SettleRequest) bool {
+	key := comfreyvale.NewKey(request.GetKey(), request.GetDigest(), time.Duration(request.GetWindowMs())*time.Millisecond)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.init()
+	return c.holder.Adopt(now, key, request.GetGrant(), whole(request.GetAnswer()))
+}
+
 // Expire forgets keys whose windows have passed.
 func (c *Claims) Expire(now time.Time) {
 	c.mu.Lock()
--- a/io/cvdispatcher/cvdispatcher.go
+++ b/io/cvdispatcher/cvdispatcher.go
@@ -3,8 +3,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
+	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,6 +20,7 @@
 	"comfreyvale/core/cvquantile"
 	"comfreyvale/core/cvretrier"
 	"comfreyvale/core/cvservice"
+	"comfreyvale/core/cvticket"
 	"comfreyvale/io/cvexchanger"
 )
 
@@ -31,6 +35,8 @@
 type Dispatcher struct {
 	// Policy makes the picker; nil takes the default policy.
 	Policy func(*cvservice.Service) comfreyvale.Picker
+	// Ejected is told of each upstream that gets no calls because of its failures; nil tells nobody.
+	Ejected func(service *cvservice.Service, upstream string)
 
 	mu        sync.Mutex
 	service   *cvservice.Service
@@ -38,10 +44,12 @@
 	admitter  *cvadmitter.Admitter
 	retrier   *cvretrier.Retrier
 	latencies map[string]*cvquantile.Quantile
-	waiting   map[*cvadmitter.Ticket]chan struct{}
+	waiting   map[*cvticket.Ticket]chan struct{}
 	exchanger *cvexchanger.Exchanger
 	calls     int64
 	tries     int64
+	changes   atomic.Int64
+	queued    atomic.Int64
 }
 
 // Update takes a new description of the service, its upstreams, and the number of live balancers.
@@ -65,7 +73,7 @@
 	d.admitter = &cvadmitter.Admitter{Picker: policy(service)}
 	d.retrier = &cvretrier.Retrier{}
 	d.latencies = make(map[string]*cvquantile.Quantile)
-	d.waiting = make(map[*cvadmitter.Ticket]chan struct{})
+	d.waiting = make(map[*cvticket.Ticket]chan struct{})
 }
 
 // configure applies the settings that the service file holds.
@@ -93,8 +101,8 @@
 
 // Acquire waits for an upstream's slot. The errors' kinds are: KindNotFound without any upstream,
 // KindExhausted when the queue is full, KindTimeout when the context ended first.
-func (d *Dispatcher) Acquire(ctx context.Context, class cvclass.Class, avoid []string, deadline time.Time) (*cvadmitter.Ticket, error) {
-	ticket := cvadmitter.NewTicket(class, avoid, deadline)
+func (d *Dispatcher) Acquire(ctx context.Context, class cvclass.Class, avoid []string, deadline time.Time) (*cvticket.Ticket, error) {
+	ticket := cvticket.New(class, avoid, deadline)
 	ready, err := d.enter(time.Now(), ticket)
 	if err != nil || ready == nil {
 		return ticket, err
@@ -111,15 +119,16 @@
 }
 
 // enter returns a nil channel when the slot was granted at once.
-func (d *Dispatcher) enter(now time.Time, ticket *cvadmitter.Ticket) (<-chan struct{}, error) {
+func (d *Dispatcher) enter(now time.Time, ticket *cvticket.Ticket) (<-chan struct{}, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.admitter.Upstreams() == 0 {
 		return nil, fail("acquire", comfreyvale.KindNotFound, errors.New("the service has no upstreams"))
 	}
 	if !d.admitter.Enter(now, rand.Uint64(), ticket) {
-		return nil, fail("acquire", comfreyvale.KindExhausted, errors.Errorf("%d calls wait already", d.admitter.Waiting()))
+		return nil, fail("acquire", comfreyvale.KindExhausted, errors.Errorf("%d calls wait already, for another %s", d.admitter.Waiting(), d.admitter.Wait().Round(time.Millisecond)))
 	}
+	d.changes.Add(1)
 	if _, granted := ticket.Upstream(); granted {
 		return nil, nil
 	}
@@ -130,7 +139,7 @@
 }
 
 // withdraw takes a ticket out of the queue, unless it was granted meanwhile.
-func (d *Dispatcher) withdraw(ticket *cvadmitter.Ticket) bool {
+func (d *Dispatcher) withdraw(ticket *cvticket.Ticket) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.waiting, ticket)
@@ -139,6 +148,7 @@
 
 // advance grants free slots to waiting tickets.
 func (d *Dispatcher) advance(now time.Time) {
+	defer func() { d.queued.Store(int64(d.admitter.Waiting())) }()
 	for d.admitter.Waiting() > 0 {
 		ticket, ok := d.admitter.Next(now, rand.Uint64())
 		if !ok {
@@ -151,21 +161,68 @@
 	}
 }
 
+// Probe sends the measuring requests that a probing policy asks for.
+func (d *Dispatcher) Probe(ctx context.Context) {
+	d.mu.Lock()
+	p, ok := d.admitter.Picker.(comfreyvale.Prober)
+	var vms []comfreyvale.VM
+	if ok {
+		vms = p.Probes()
+	}
+	d.mu.Unlock()
+	for _, v := range vms {
+		go d.probe(ctx, v)
+	}
+}
+
+func (d *Dispatcher) probe(ctx context.Context, vm comfreyvale.VM) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://upstream/load", nil)
+	if err != nil {
+		return
+	}
+	response, err := d.Exchanger().Exchange(ctx, vm, request)
+	if err != nil {
+		return
+	}
+	defer response.Body.Close()
+	var load struct {
+		InFlight  int   `json:"inFlight"`
+		LatencyUs int64 `json:"latencyUs"`
+	}
+	if json.NewDecoder(response.Body).Decode(&load) != nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.admitter.Picker.(comfreyvale.Prober).Probed(time.Now(), vm, load.InFlight, time.Duration(load.LatencyUs)*time.Microsecond)
+}
+
 // Tick lets waiting calls go on that only the passing of time has freed.
 func (d *Dispatcher) Tick(now time.Time) {
+	if d.queued.Load() == 0 {
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.advance(now)
 }
 
 // Release gives a slot back with the outcome of its try.
-func (d *Dispatcher) Release(ticket *cvadmitter.Ticket, outcome comfreyvale.Outcome) {
+func (d *Dispatcher) Release(ticket *cvticket.Ticket, outcome comfreyvale.Outcome) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.tries++
+	d.changes.Add(1)
 	d.admitter.Done(now, ticket, outcome)
 	d.advance(now)
+	p, ok := d.admitter.Picker.(*cvpicker.Picker)
+	if !ok || d.Ejected == nil {
+		return
+	}
+	for _, upstream := range p.Ejections() {
+		d.Ejected(d.service, upstream)
+	}
 }
 
 // Observe takes what a peer says of its own tries in flight.
@@ -176,6 +233,9 @@
 	d.advance(now)
 }
 
+// Changes grows whenever the own tries in flight may have changed.
+func (d *Dispatcher) Changes() int64 { return d.changes.Load() }
+
 // InFlight returns the own tries in flight, for the peers.
 func (d *Dispatcher) InFlight() []comfreyvale.InFlight {
 	d.mu.Lock()
--- a/io/cvfollower/cvfollower.go
+++ b/io/cvfollower/cvfollower.go
@@ -50,6 +50,7 @@
 	mu        sync.Mutex
 	reader    *cvreader.Reader
 	confirmed bool
+	told      int64
 	readAt    time.Time
 	logged    string
 }
@@ -104,6 +105,7 @@
 	if !f.confirmed {
 		f.confirmed = true
 		f.note("confirmed", "")
+		f.inForce()
 	}
 	f.note("reading", "")
 }
@@ -132,8 +134,13 @@
 	f.Logger.WithFields(log.Fields{"offset": offset, "result": verdict.Result(), "reason": verdict.Reason()}).Warn("publication rejected")
 }
 
-// inForce tells of the reader's configuration.
+// inForce tells of the reader's configuration. Until the head of the log was reached once, nothing is in force: what
+// the reader holds so far may be older than what other balancers have.
 func (f *Follower) inForce() {
+	if !f.confirmed || f.reader.Generation() == f.told {
+		return
+	}
+	f.told = f.reader.Generation()
 	f.Metrics.SetGeneration(f.reader.Generation())
 	f.Metrics.Changed("configuration")
 	f.Logger.WithField("generation", f.reader.Generation()).Info("configuration in force")
--- /dev/null
+++ b/io/cvfollower/cvfollower_test.go
@@ -0,0 +1,68 @@
+package cvfollower_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"comfreyvale/core/cvconfiguration"
+	"comfreyvale/core/cvreader"
+	"comfreyvale/core/cvwire"
+	"comfreyvale/io/cvfollower"
+	"comfreyvale/io/cvlogger"
+	"comfreyvale/io/cvmemlog"
+	"comfreyvale/io/cvmetrics"
+)
+
+func publication(t *testing.T, id, slots string, base int64) *cvwire.ConfigurationRecord {
+	f := &cvwire.ServiceFile{Service: "s", Path: "f", Base: base, Content: []byte("service: s\nhost: h\ngroup: g\nslots: " + slots + "\n")}
+	return &cvwire.ConfigurationRecord{Record: &cvwire.ConfigurationRecord_Publication{Publication: &cvwire.Publication{Id: id, Files: []*cvwire.ServiceFile{f}}}}
+}
+
+// TestNewcomerSkipsOldConfigurations starts a balancer on a log that only keeps an older checkpoint and what came after
+// it: nothing older than the head of the log is ever in force there.
+func TestNewcomerSkipsOldConfigurations(t *testing.T) {
+	log := &cvmemlog.Log{}
+	reader := cvreader.New()
+	appendRecord := func(record *cvwire.ConfigurationRecord) {
+		body, err := proto.Marshal(record)
+		require.NoError(t, err)
+		_, err = log.Append(context.Background(), cvfollower.Stream, body)
+		require.NoError(t, err)
+		batch, err := log.Read(context.Background(), cvfollower.Stream, reader.Through(), 0)
+		require.NoError(t, err)
+		_, err = reader.Apply(batch.Records()[0])
+		require.NoError(t, err)
+	}
+	appendRecord(publication(t, "a", "1", 0))
+	old := reader.Checkpoint()
+	appendRecord(publication(t, "b", "2", 1))
+	appendRecord(&cvwire.ConfigurationRecord{Record: &cvwire.ConfigurationRecord_Checkpoint{Checkpoint: old}})
+	log.SetKeep(2)
+
+	var mu sync.Mutex
+	var seen []int64
+	f := &cvfollower.Follower{
+		Log: log, Metrics: cvmetrics.New(), Logger: (&cvlogger.Logger{Out: io.Discard}).New(),
+		Changed: func(c *cvconfiguration.Configuration) {
+			mu.Lock()
+			defer mu.Unlock()
+			seen = append(seen, c.Generation())
+		},
+	}
+	f.Offer(old)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- f.Run(ctx) }()
+	require.Eventually(t, f.Confirmed, 10*time.Second, time.Millisecond)
+	cancel()
+	require.NoError(t, <-done)
+	mu.Lock()
+	defer mu.Unlock()
+	require.Equal(t, []int64{2}, seen)
+}
--- a/io/cvgossip/cvgossip.go
+++ b/io/cvgossip/cvgossip.go
@@ -11,6 +11,7 @@
 
 	"comfreyvale"
 	"comfreyvale/core/cvwire"
+	"comfreyvale/io/cvdispatcher"
 	"comfreyvale/io/cvpeers"
 	"comfreyvale/io/cvtable"
 )
@@ -36,7 +37,7 @@
 	Checkpoint func() *cvwire.Checkpoint
 
 	mu      sync.Mutex
-	sent    map[uint32]uint32
+	told    map[string]told
 	names   map[uint32]upstream
 	version int64
 	offered map[string]time.Time
@@ -50,6 +51,7 @@
 
 // Run tells news until the context ends.
 func (g *Gossip) Run(ctx context.Context) error {
+	g.told = make(map[string]told)
 	ticker := time.NewTicker(g.Interval)
 	defer ticker.Stop()
 	var whole time.Time
@@ -76,20 +78,11 @@
 func (g *Gossip) tell(whole bool) {
 	message := &cvwire.Gossip{Whole: whole}
 	g.mu.Lock()
-	counts := g.counts()
-	for h, n := range counts {
-		if whole || g.sent[h] != n {
-			message.Upstreams = append(message.Upstreams, h)
-			message.Counts = append(message.Counts, n)
-		}
-	}
-	for h := range g.sent {
-		if _, still := counts[h]; !still && !whole {
-			message.Upstreams = append(message.Upstreams, h)
-			message.Counts = append(message.Counts, 0)
+	for _, s := range g.Table.Services() {
+		if d := g.Table.Dispatcher(s.Name()); d != nil {
+			g.add(message, s.Name(), d)
 		}
 	}
-	g.sent = counts
 	g.mu.Unlock()
 	if whole {
 		g.State(message)
@@ -99,18 +92,48 @@
 	g.broadcast(message)
 }
 
-func (g *Gossip) counts() map[uint32]uint32 {
-	counts := make(map[uint32]uint32)
-	for _, s := range g.Table.Services() {
-		d := g.Table.Dispatcher(s.Name())
-		if d == nil {
-			continue
-		}
+// told is what was last told of one service.
+type told struct {
+	changes int64
+	counts  map[string]int
+}
+
+// add puts a service's counts into a message: all that are not zero into a whole one, else those that changed.
+func (g *Gossip) add(message *cvwire.Gossip, service string, d *cvdispatcher.Dispatcher) {
+	last := g.told[service]
+	changes := d.Changes()
+	if changes != last.changes || last.counts == nil {
+		counts := make(map[string]int)
 		for _, c := range d.InFlight() {
-			counts[hash(s.Name(), c.Upstream())] = uint32(c.Count())
+			counts[c.Upstream()] = c.Count()
+		}
+		if !message.GetWhole() {
+			addChanged(message, service, last.counts, counts)
+		}
+		last = told{changes: changes, counts: counts}
+		g.told[service] = last
+	}
+	if message.GetWhole() {
+		addChanged(message, service, nil, last.counts)
+	}
+}
+
+// addChanged puts the counts into a message that differ from those told before.
+func addChanged(message *cvwire.Gossip, service string, before, after map[string]int) {
+	put := func(upstream string, count int) {
+		message.Upstreams = append(message.Upstreams, hash(service, upstream))
+		message.Counts = append(message.Counts, uint32(count))
+	}
+	for upstream, count := range after {
+		if before[upstream] != count {
+			put(upstream, count)
+		}
+	}
+	for upstream := range before {
+		if _, still := after[upstream]; !still {
+			put(upstream, 0)
 		}
 	}
-	return counts
 }
 
 // broadcast sends a message to all peers; what is lost comes with the next whole message.
--- a/io/cvhomes/cvhomes.go
+++ b/io/cvhomes/cvhomes.go
@@ -277,6 +277,34 @@
 	return reply.GetAnswer()
 }
 
+// Settle gives a finished answer to the key's home, before this process stops, and tries until the home has
+// taken it. It gives up when no balancer is left.
+func (h *Homes) Settle(ctx context.Context, request *cvwire.SettleRequest) bool {
+	message := &cvwire.PeerRequest{Request: &cvwire.PeerRequest_Settle{Settle: request}}
+	for ctx.Err() == nil {
+		process, _ := h.find(request.GetKey())
+		if process == "" {
+			return false
+		}
+		if process != h.Process {
+			reply, err := h.Peers.Call(ctx, process, message)
+			if err == nil && reply.GetSettle().GetAccepted() {
+				return true
+			}
+		}
+		pause(ctx, retryTime)
+	}
+	return false
+}
+
+// Reassign notes that this process holds a grant's answer now. It returns whether the grant is known here.
+func (h *Homes) Reassign(grant string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.init()
+	return h.home.Reassign(grant, h.Process)
+}
+
 // Handle answers a peer's request about claims, or returns nil for other requests.
 func (h *Homes) Handle(ctx context.Context, request *cvwire.PeerRequest) *cvwire.PeerReply {
 	switch r := request.GetRequest().(type) {
--- a/io/cvpeers/cvpeers.go
+++ b/io/cvpeers/cvpeers.go
@@ -29,6 +29,8 @@
 	keepAliveTime = time.Second
 	// writeTime is how long a message, or the answer to a keep-alive, may take.
 	writeTime = 2 * time.Second
+	// greetTime is how long who opened a link may take to say who it is.
+	greetTime = 2 * time.Second
 	// streamWindow is how many bytes of one stream are sent ahead.
 	streamWindow = 256 << 10
 )
@@ -108,8 +110,9 @@
 		conn.Close()
 		return
 	}
+	silent := time.AfterFunc(greetTime, func() { session.Close() })
 	process, err := greeted(session, p.Process)
-	if err != nil {
+	if err != nil || !silent.Stop() {
 		session.Close()
 		return
 	}
--- /dev/null
+++ b/io/cvpeers/cvpeers_test.go
@@ -0,0 +1,129 @@
+package cvpeers_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"comfreyvale/core/cvwire"
+	"comfreyvale/io/cvkeys"
+	"comfreyvale/io/cvmetrics"
+	"comfreyvale/io/cvpeers"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// authority signs certificates for a test.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	file        string
+}
+
+func newAuthority(t *testing.T, name string) *authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	require.NoError(t, err)
+	certificate, err := x509.ParseCertificate(der)
+	require.NoError(t, err)
+	return &authority{certificate: certificate, key: key, file: writePEM(t, "CERTIFICATE", der)}
+}
+
+// issue returns the configuration of one balancer.
+func (a *authority) issue(t *testing.T) *tls.Config {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(2), DNSNames: []string{"comfreyvale"}, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	require.NoError(t, err)
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	require.NoError(t, err)
+	keys := &cvkeys.Keys{Certificate: writePEM(t, "CERTIFICATE", der), Key: writePEM(t, "EC PRIVATE KEY", keyDER), Authority: a.file, Name: "comfreyvale"}
+	config, err := keys.Mutual()
+	require.NoError(t, err)
+	return config
+}
+
+func writePEM(t *testing.T, kind string, der []byte) string {
+	path := filepath.Join(t.TempDir(), "file.pem")
+	require.NoError(t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+	return path
+}
+
+func start(t *testing.T, process string, config *tls.Config) (peers *cvpeers.Peers, address string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p := &cvpeers.Peers{
+		Process: process, Listener: listener, TLS: config, Metrics: cvmetrics.New(), Changed: func(string, bool, bool) {},
+		Handle: func(_ context.Context, from string, _ *cvwire.PeerRequest) *cvwire.PeerReply {
+			return &cvwire.PeerReply{Reply: &cvwire.PeerReply_Claim{Claim: &cvwire.ClaimReply{Condition: process + " to " + from}}}
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = p.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	time.Sleep(20 * time.Millisecond)
+	return p, listener.Addr().String()
+}
+
+// TestLinks opens links plain, with one authority, and with two: only the last must not come about.
+func TestLinks(t *testing.T) {
+	first, second := newAuthority(t, "first"), newAuthority(t, "second")
+	cases := map[string]struct {
+		a, b   *tls.Config
+		linked bool
+	}{
+		"plain":             {linked: true},
+		"one authority":     {a: first.issue(t), b: first.issue(t), linked: true},
+		"another authority": {a: first.issue(t), b: second.issue(t)},
+		"plain to secured":  {b: first.issue(t)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			a, _ := start(t, "a", c.a)
+			b, address := start(t, "b", c.b)
+			a.Want(map[string]string{"b": address})
+			linked := func() bool { return len(a.Linked()) == 1 && len(b.Linked()) == 1 }
+			if !c.linked {
+				require.Never(t, linked, 400*time.Millisecond, 20*time.Millisecond)
+				return
+			}
+			require.Eventually(t, linked, 10*time.Second, 10*time.Millisecond)
+			for from, to := range map[*cvpeers.Peers]string{a: "b", b: "a"} {
+				reply, err := from.Call(context.Background(), to, &cvwire.PeerRequest{})
+				require.NoError(t, err)
+				require.Equal(t, to+" to "+from.Process, reply.GetClaim().GetCondition())
+			}
+			a.Want(nil)
+		})
+	}
+}
--- a/io/cvprofile/cvprofile.go
+++ b/io/cvprofile/cvprofile.go
@@ -34,3 +34,8 @@
 		{Name: "drawing", Weight: 0.03, Method: "GET", Host: "drawings.cedarstep.example", Path: "/drawings/%d", Bytes: 2 << 20},
 	}
 }
+
+// Bare returns lookups that the upstreams answer without any work, for measuring what a balancer adds.
+func Bare() []Profile {
+	return []Profile{{Name: "bare", Weight: 1, Method: "GET", Host: "listings.lanasur.example", Path: "/lots/%d?workMs=0"}}
+}
--- a/io/cvrunner/try.go
+++ b/io/cvrunner/try.go
@@ -16,8 +16,8 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"comfreyvale"
-	"comfreyvale/core/cvadmitter"
 	"comfreyvale/core/cvfault"
+	"comfreyvale/core/cvticket"
 	"comfreyvale/io/cvheader"
 	"comfreyvale/io/cvreply"
 )
@@ -91,7 +91,7 @@
 	t.exchange(ctx, ticket, vm)
 }
 
-func (t *try) exchange(ctx context.Context, ticket *cvadmitter.Ticket, vm comfreyvale.VM) {
+func (t *try) exchange(ctx context.Context, ticket *cvticket.Ticket, vm comfreyvale.VM) {
 	ctx, span := t.race.runner.Tracer.Start(ctx, "try")
 	defer span.End()
 	span.SetAttributes(attribute.String("upstream", vm.Name()), attribute.String("dataCentre", vm.DataCentre()))
@@ -127,7 +127,7 @@
 }
 
 // fail ends a try without an answer's head.
-func (t *try) fail(ctx context.Context, ticket *cvadmitter.Ticket, err error) {
+func (t *try) fail(ctx context.Context, ticket *cvticket.Ticket, err error) {
 	switch {
 	case ctx.Err() != nil:
 		t.release(ticket, comfreyvale.ResultCancelled)
@@ -143,7 +143,7 @@
 }
 
 // receive takes an answer's head and as much of its body as is held.
-func (t *try) receive(ctx context.Context, ticket *cvadmitter.Ticket, response *http.Response) {
+func (t *try) receive(ctx context.Context, ticket *cvticket.Ticket, response *http.Response) {
 	if response.Header.Get(cvheader.Draining) == "true" {
 		t.race.runner.Draining(t.race.call.Service().Name(), t.upstream)
 	}
@@ -163,7 +163,7 @@
 }
 
 // hold reads the body up to the limit of held answers.
-func (t *try) hold(ctx context.Context, ticket *cvadmitter.Ticket, response *http.Response) {
+func (t *try) hold(ctx context.Context, ticket *cvticket.Ticket, response *http.Response) {
 	limit := t.race.call.Service().HeldAnswerLimit()
 	reserved := limit
 	if response.ContentLength >= 0 {
@@ -193,7 +193,7 @@
 }
 
 // stream hands the rest of the body on; the slot is held until it ends.
-func (t *try) stream(ticket *cvadmitter.Ticket, response *http.Response, held []byte, reserved int64) {
+func (t *try) stream(ticket *cvticket.Ticket, response *http.Response, held []byte, reserved int64) {
 	result := t.result(response)
 	t.reply = cvreply.New(t.upstream, response, held, response.Body, func(whole bool) {
 		t.cancel()
@@ -216,7 +216,7 @@
 	return comfreyvale.ResultAnswered
 }
 
-func (t *try) release(ticket *cvadmitter.Ticket, result comfreyvale.Result) {
+func (t *try) release(ticket *cvticket.Ticket, result comfreyvale.Result) {
 	now := time.Now()
 	latency := now.Sub(t.began)
 	t.race.dispatcher.Release(ticket, comfreyvale.NewOutcome(result, latency))
--- a/io/cvsettings/cvsettings.go
+++ b/io/cvsettings/cvsettings.go
@@ -34,6 +34,7 @@
 	{Path: "log.address", Kind: cvfield.Text, Required: true, Pattern: urlPattern, Allowed: urlAllowed, Effect: "The platform's log service."},
 	{Path: "vmList.address", Kind: cvfield.Text, Required: true, Pattern: urlPattern, Allowed: urlAllowed, Effect: "The platform's VM list."},
 	{Path: "vmList.poll", Kind: cvfield.Duration, Default: "1s", Min: "100ms", Max: "1m", Effect: "How often the VM list is read."},
+	{Path: "policy", Kind: cvfield.Text, Default: "soonest", Pattern: "soonest|leastOfTwo|robin|random|probing", Allowed: "soonest, leastOfTwo, robin, random or probing", Effect: "Routing policy; all but soonest are there for comparison."},
 	{Path: "gossip", Kind: cvfield.Duration, Default: "5ms", Min: "1ms", Max: "1s", Effect: "How often changes are told to the other balancers at most."},
 	{Path: "suspectAfter", Kind: cvfield.Duration, Default: "3s", Min: "500ms", Max: "1m", Effect: "How long a balancer must be unreachable for most others before it is taken out of the roster."},
 	{Path: "journalInterval", Kind: cvfield.Duration, Default: "20ms", Min: "1ms", Max: "1s", Effect: "Time between two journal appends of one home at least; claims in between share one."},
@@ -117,6 +118,9 @@
 // VMListPoll is the time between two reads of the VM list.
 func (s *Settings) VMListPoll() time.Duration { return s.values.Duration("vmList.poll") }
 
+// Policy is the name of the routing policy.
+func (s *Settings) Policy() string { return s.values.Text("policy") }
+
 // Gossip is the shortest time between two messages of news to a peer.
 func (s *Settings) Gossip() time.Duration { return s.values.Duration("gossip") }
 
--- a/io/cvtable/cvtable.go
+++ b/io/cvtable/cvtable.go
@@ -2,6 +2,7 @@
 package cvtable
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,8 @@
 type Table struct {
 	// Policy makes the pickers; nil takes the default policy.
 	Policy func(*cvservice.Service) comfreyvale.Picker
+	// Ejected is told of each upstream that gets no calls because of its failures; nil tells nobody.
+	Ejected func(service *cvservice.Service, upstream string)
 
 	mu        sync.Mutex
 	vms       []comfreyvale.VM
@@ -51,7 +54,7 @@
 	old := t.current.Load()
 	next := &view{configuration: configuration, dispatchers: make(map[string]*cvdispatcher.Dispatcher)}
 	for _, s := range configuration.Services() {
-		d := &cvdispatcher.Dispatcher{Policy: t.Policy}
+		d := &cvdispatcher.Dispatcher{Policy: t.Policy, Ejected: t.Ejected}
 		if old != nil && old.dispatchers[s.Name()] != nil {
 			d = old.dispatchers[s.Name()]
 		}
@@ -130,5 +133,14 @@
 	}
 }
 
+// Probe sends the measuring requests that probing policies ask for.
+func (t *Table) Probe(ctx context.Context) {
+	for _, s := range t.Services() {
+		if d := t.Dispatcher(s.Name()); d != nil {
+			d.Probe(ctx)
+		}
+	}
+}
+
 // String describes the table.
 func (t *Table) String() string { return "table of services" }
--- a/io/cvupstream/cvupstream.go
+++ b/io/cvupstream/cvupstream.go
@@ -15,11 +15,15 @@
 	"time"
 
 	"golang.org/x/sync/semaphore"
+
+	"comfreyvale/io/cvrun"
 )
 
 const (
 	// meanWork is the mean time that a request takes when it does not say.
 	meanWork = 2 * time.Millisecond
+	// latencyGain is how many requests the mean latency of the load endpoint reaches back.
+	latencyGain = 8
 	// crashTime is how long a crashed upstream accepts no connections.
 	crashTime = 300 * time.Millisecond
 )
@@ -44,27 +48,14 @@
 	random    *rand.Rand
 	faults    faults
 	ledger    map[string]int
-	runs      []Run
+	runs      []cvrun.Run
 	conns     map[net.Conn]struct{}
 	downUntil time.Time
 	inFlight  atomic.Int64
 	served    atomic.Int64
 	measured  atomic.Int64
 	accepted  atomic.Int64
-}
-
-// Run is one request that an upstream ran.
-type Run struct {
-	// Key is the request's idempotency key, or empty.
-	Key string `json:"key"`
-	// Tag is the request's own mark, as sent in X-Tag.
-	Tag string `json:"tag"`
-	// Method is the request's method.
-	Method string `json:"method"`
-	// Upstream is the name of the upstream that ran it.
-	Upstream string `json:"upstream"`
-	// Ended says that the request ran to its end.
-	Ended bool `json:"ended"`
+	latency   atomic.Int64
 }
 
 // faults are the switches that a test sets.
@@ -174,7 +165,9 @@
 
 func (u *Upstream) run(w http.ResponseWriter, r *http.Request, f faults) {
 	run := u.record(r, true)
+	began := time.Now()
 	u.work(r, f)
+	u.latency.Store(u.latency.Load() + (time.Since(began).Microseconds()-u.latency.Load())/latencyGain)
 	if f.Break != "" {
 		u.breakOff(w, r, f.Break)
 		return
@@ -218,16 +211,16 @@
 		u.ledger[key]++
 	}
 	if r.Method != http.MethodGet || key != "" || !ended {
-		u.runs = append(u.runs, Run{Key: key, Tag: r.Header.Get("X-Tag"), Method: r.Method, Upstream: u.Name, Ended: ended})
+		u.runs = append(u.runs, cvrun.Run{Key: key, Tag: r.Header.Get("X-Tag"), Method: r.Method, Upstream: u.Name, Ended: ended})
 	}
 	return u.ledger[key]
 }
 
 // Runs returns the record of all requests that ran and were not lookups.
-func (u *Upstream) Runs() []Run {
+func (u *Upstream) Runs() []cvrun.Run {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return append([]Run(nil), u.runs...)
+	return append([]cvrun.Run(nil), u.runs...)
 }
 
 func (u *Upstream) listRuns(w http.ResponseWriter, _ *http.Request) { reply(w, u.Runs()) }
@@ -243,7 +236,7 @@
 	if lie := u.current().LoadLie; lie > 0 {
 		load = lie
 	}
-	reply(w, map[string]int{"inFlight": load})
+	reply(w, map[string]int64{"inFlight": int64(load), "latencyUs": u.latency.Load()})
 }
 
 func (u *Upstream) control(w http.ResponseWriter, r *http.Request) {
--- a/picker.go
+++ b/picker.go
@@ -19,6 +19,14 @@
 	String() string
 }
 
+// Prober is a policy that pays for measuring requests to upstreams.
+type Prober interface {
+	// Probes returns the upstreams to measure now.
+	Probes() []VM
+	// Probed takes what an upstream said of itself.
+	Probed(now time.Time, upstream VM, inFlight int, latency time.Duration)
+}
+
 // Result says how a try ended, as far as routing is concerned.
 type Result int
 
--- /dev/null
+++ b/proof/bench_test.go
@@ -0,0 +1,176 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreyvale/io/cvlisting"
+	"comfreyvale/io/cvload"
+	"comfreyvale/io/cvprofile"
+	"comfreyvale/io/cvreport"
+)
+
+const (
+	benchUpstreams = 30
+	benchSlots     = 4
+	benchWorkMs    = 20.0
+	benchTime      = 6 * time.Second
+)
+
+// scenario is a load and what goes wrong under it.
+type scenario struct {
+	name  string
+	share float64
+	run   func(b *bench, stop <-chan struct{})
+}
+
+// bench is a cluster whose upstreams are disturbed by their addresses.
+type bench struct {
+	cluster   *cluster
+	addresses []string
+	random    *rand.Rand
+}
+
+func (b *bench) control(i int, fault map[string]any) {
+	body, _ := json.Marshal(fault)
+	response, err := http.Post("http://"+b.addresses[i]+"/control", "application/json", bytes.NewReader(body))
+	if err == nil {
+		response.Body.Close()
+	}
+}
+
+func stalls(b *bench, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+		b.control(b.random.IntN(len(b.addresses)), map[string]any{"stallMs": 5 + b.random.IntN(46)})
+	}
+}
+
+func slowThird(b *bench, _ <-chan struct{}) {
+	for i := range len(b.addresses) / 3 {
+		b.control(i, map[string]any{"slowFactor": 3})
+	}
+}
+
+func failFast(b *bench, _ <-chan struct{}) {
+	for i := range 2 {
+		b.control(i, map[string]any{"failFast": true})
+	}
+}
+
+func loseOne(b *bench, _ <-chan struct{}) {
+	time.Sleep(2 * time.Second)
+	b.cluster.kill(entry(2))
+}
+
+func drainWave(b *bench, _ <-chan struct{}) {
+	for i := range len(b.addresses) / 5 {
+		time.Sleep(300 * time.Millisecond)
+		b.control(i, map[string]any{"drain": true, "refuseWhileDraining": true})
+	}
+}
+
+var scenarios = []scenario{
+	{"steady 50%", 0.5, nil},
+	{"steady 75%", 0.75, nil},
+	{"steady 90%", 0.9, nil},
+	{"stalls at 75%", 0.75, stalls},
+	{"burst to 130%", 1.3, nil},
+	{"slow third at 50%", 0.5, slowThird},
+	{"two fail fast at 75%", 0.75, failFast},
+	{"one balancer lost at 50%", 0.5, loseOne},
+	{"drain wave at 50%", 0.5, drainWave},
+}
+
+// BenchmarkPolicies prints one table: each policy in each scenario, with the same calls.
+func BenchmarkPolicies(b *testing.B) {
+	rows := []struct {
+		policy, hedge string
+	}{{"random", "100%"}, {"robin", "100%"}, {"leastOfTwo", "100%"}, {"probing", "100%"}, {"soonest", "100%"}, {"soonest", "95%"}}
+	for _, s := range scenarios {
+		for _, r := range rows {
+			b.Run(fmt.Sprintf("%s/%s, hedge %s", s.name, r.policy, r.hedge), func(b *testing.B) {
+				for range b.N {
+					measure(b, s, r.policy, r.hedge)
+				}
+			})
+		}
+	}
+}
+
+func measure(b *testing.B, s scenario, policy, hedge string) {
+	directory := b.TempDir()
+	service := fmt.Sprintf("service: lanasur-listings\nhost: listings.lanasur.example\ngroup: listings\nslots: %d\ntimeout: 2s\nqueue: 2000\nhedgeQuantile: %s\n", benchSlots, hedge)
+	require.NoError(b, os.WriteFile(filepath.Join(directory, "comfreyvale.yaml"), []byte(service), 0o600))
+	c := newClusterOf(b, options{policy: policy, upstreams: benchUpstreams, service: directory})
+	vms, err := (&cvlisting.List{Address: c.listURL()}).List(context.Background())
+	require.NoError(b, err)
+	t := &bench{cluster: c, random: rand.New(rand.NewPCG(1, 1))}
+	for _, v := range vms {
+		if v.Group() == "listings" {
+			t.addresses = append(t.addresses, v.Address())
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	load := &cvload.Load{
+		Targets: c.callers(), Duration: benchTime, Timeout: 3 * time.Second, Seed: 7, Name: "bench",
+		Rate:     s.share * benchUpstreams * benchSlots * 1000 / benchWorkMs,
+		Profiles: []cvprofile.Profile{{Name: "lookup", Weight: 1, Method: "GET", Host: "listings.lanasur.example", Path: "/lots/%d", WorkMs: benchWorkMs}},
+	}
+	var lost atomic.Bool
+	load.Live = func(target string) bool { return !lost.Load() || target != c.caller(2) }
+	stop := make(chan struct{})
+	if s.run != nil {
+		go func() {
+			s.run(t, stop)
+			lost.Store(s.name == "one balancer lost at 50%")
+		}()
+	}
+	report, err := load.Run(context.Background())
+	close(stop)
+	require.NoError(b, err)
+	calls := float64(report.Calls("all"))
+	b.ReportMetric(toMs(report, 0.5), "p50-ms")
+	b.ReportMetric(toMs(report, 0.99), "p99-ms")
+	b.ReportMetric(toMs(report, 0.999), "p99.9-ms")
+	b.ReportMetric(100*(calls-float64(report.Count("all", cvreport.Answered)))/calls, "%unanswered")
+	served, measured := t.counts()
+	b.ReportMetric(served/calls, "tries/call")
+	b.ReportMetric(measured/calls, "probes/call")
+	b.ReportMetric(0, "ns/op")
+}
+
+func toMs(report *cvreport.Report, share float64) float64 {
+	return float64(report.Quantile("all", share)) / float64(time.Millisecond)
+}
+
+// counts are the requests and the measuring requests that all upstreams served.
+func (b *bench) counts() (served, measured float64) {
+	for _, a := range b.addresses {
+		response, err := http.Get("http://" + a + "/control/counts")
+		if err != nil {
+			continue
+		}
+		var counts map[string]float64
+		_ = json.NewDecoder(response.Body).Decode(&counts)
+		response.Body.Close()
+		served += counts["served"]
+		measured += counts["measured"]
+	}
+	return served, measured
+}
--- /dev/null
+++ b/proof/capacity_test.go
@@ -0,0 +1,138 @@
+package proof
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreyvale/io/cvload"
+	"comfreyvale/io/cvprofile"
+)
+
+const capacityTime = 8 * time.Second
+
+// sample is what one balancer has used so far.
+type sample struct {
+	cpu, memory, peerBytes, appends float64
+}
+
+// sample reads a balancer's own metrics.
+func (c *cluster) sample(i int) sample {
+	response, err := http.Get("http://" + c.admin(i) + "/metrics")
+	require.NoError(c.t, err)
+	defer response.Body.Close()
+	var s sample
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		name, value, _ := strings.Cut(lines.Text(), " ")
+		n, _ := strconv.ParseFloat(value, 64)
+		switch {
+		case name == "process_cpu_seconds_total":
+			s.cpu = n
+		case name == "process_resident_memory_bytes":
+			s.memory = n
+		case name == `comfreyvale_peer_bytes_total{direction="out"}`:
+			s.peerBytes = n
+		case strings.HasPrefix(name, "comfreyvale_log_appends_total"):
+			s.appends += n
+		}
+	}
+	return s
+}
+
+// use is what a balancer uses on average while something goes on.
+func (c *cluster) use(during func()) (cpuShare, memoryMB, peerKBs, appends float64) {
+	var before []sample
+	for i := range c.count() {
+		before = append(before, c.sample(i))
+	}
+	began := time.Now()
+	during()
+	seconds := time.Since(began).Seconds()
+	n := float64(c.count())
+	for i := range c.count() {
+		s := c.sample(i)
+		cpuShare += 100 * (s.cpu - before[i].cpu) / seconds / n
+		memoryMB += s.memory / 1e6 / n
+		peerKBs += (s.peerBytes - before[i].peerBytes) / 1e3 / seconds / n
+		appends += (s.appends - before[i].appends) / seconds
+	}
+	return cpuShare, memoryMB, peerKBs, appends
+}
+
+func report(b *testing.B, cpuShare, memoryMB, peerKBs, appends float64) {
+	b.ReportMetric(cpuShare, "%core")
+	b.ReportMetric(memoryMB, "MB")
+	b.ReportMetric(peerKBs, "KB/s-out")
+	b.ReportMetric(appends, "appends/s-all")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkCapacity prints what a balancer uses by the number of balancers, services, upstreams, calls and orders.
+func BenchmarkCapacity(b *testing.B) {
+	idle := func() { time.Sleep(capacityTime) }
+	for _, balancers := range []int{2, 6, 12, 24, 48} {
+		b.Run(fmt.Sprintf("idle, balancers %d", balancers), func(b *testing.B) {
+			c := newClusterOf(b, options{balancers: balancers})
+			time.Sleep(time.Second)
+			cpu, memory, bytes, appends := c.use(idle)
+			report(b, cpu, memory, bytes, appends)
+		})
+	}
+	for _, services := range []int{10, 110, 330} {
+		b.Run(fmt.Sprintf("idle, services %d", services), func(b *testing.B) {
+			c := newClusterOf(b, options{balancers: 6, upstreams: 30, service: manyServices(b, services)})
+			time.Sleep(time.Second)
+			began := time.Now()
+			c.publish("one more", c.serviceFile("one-more", "3s"))
+			b.ReportMetric(float64(time.Since(began).Milliseconds()), "ms-publish")
+			cpu, memory, bytes, appends := c.use(idle)
+			report(b, cpu, memory, bytes, appends)
+		})
+	}
+	for _, rate := range []float64{300, 1200, 2400} {
+		for _, keyed := range []bool{false, true} {
+			b.Run(fmt.Sprintf("calls %.0f, keyed %t", rate, keyed), func(b *testing.B) {
+				c := newClusterOf(b, options{balancers: 6, upstreams: 30})
+				cpu, memory, bytes, appends := c.use(func() { calls(b, c, rate, keyed) })
+				report(b, cpu, memory, bytes, appends)
+			})
+		}
+	}
+}
+
+func calls(b *testing.B, c *cluster, rate float64, keyed bool) {
+	profile := cvprofile.Profile{Name: "lookup", Weight: 1, Method: "GET", Host: "listings.lanasur.example", Path: "/lots/%d"}
+	if keyed {
+		profile = cvprofile.Profile{Name: "order", Weight: 1, Method: "POST", Host: "listings.lanasur.example", Path: "/reservations", Keyed: true}
+	}
+	load := &cvload.Load{
+		Targets: c.callers(), Rate: rate, Duration: capacityTime, Timeout: 5 * time.Second, Seed: 3, Name: "capacity",
+		Profiles: []cvprofile.Profile{profile},
+	}
+	report, err := load.Run(context.Background())
+	require.NoError(b, err)
+	b.ReportMetric(toMs(report, 0.5), "p50-ms")
+	b.ReportMetric(toMs(report, 0.99), "p99-ms")
+}
+
+// manyServices writes service files for the same upstreams under many names.
+func manyServices(b *testing.B, count int) string {
+	directory := b.TempDir()
+	for i := range count {
+		path := filepath.Join(directory, fmt.Sprintf("service-%d", i))
+		require.NoError(b, os.MkdirAll(path, 0o700))
+		content := fmt.Sprintf("service: service-%d\nhost: service-%d.example\ngroup: listings\nslots: 4\n", i, i)
+		require.NoError(b, os.WriteFile(filepath.Join(path, "comfreyvale.yaml"), []byte(content), 0o600))
+	}
+	return directory
+}
--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
@@ -19,15 +20,21 @@
 	"github.com/stretchr/testify/require"
 
 	"comfreyvale/io/cvoperator"
-	"comfreyvale/io/cvupstream"
+	"comfreyvale/io/cvrun"
 )
 
 const (
 	balancerCount = 6
 	upstreamCount = 8
 	readyTime     = 20 * time.Second
-	// basePort is the first port; each cluster takes the next hundred.
-	basePort = 23000
+	// Each cluster takes the next block of ports, of a few that are used in turn.
+	basePort     = 23000
+	blockPorts   = 600
+	blocks       = 12
+	callerPort   = 200
+	adminPort    = 300
+	linkPort     = 400
+	upstreamPort = 500
 )
 
 // long runs the proofs with more seeds.
@@ -55,7 +62,7 @@
 
 // cluster is a whole system of processes.
 type cluster struct {
-	t         *testing.T
+	t         testing.TB
 	directory string
 	port      int
 	links     *links
@@ -63,45 +70,66 @@
 	processes map[string]*exec.Cmd
 	logs      map[string]*os.File
 	starts    int
+	options   options
+}
+
+// options change what a cluster is made of.
+type options struct {
+	policy    string
+	balancers int
+	upstreams int
+	service   string
 }
 
 var clusters int
 
 // newCluster starts the platform, the upstreams and all balancers, and publishes the examples.
-func newCluster(t *testing.T) *cluster {
+func newCluster(t testing.TB) *cluster {
+	return newClusterOf(t, options{})
+}
+
+func newClusterOf(t testing.TB, o options) *cluster {
 	t.Helper()
 	c := &cluster{
-		t: t, directory: t.TempDir(), port: basePort + 100*(clusters%40),
-		processes: make(map[string]*exec.Cmd), logs: make(map[string]*os.File),
+		t: t, directory: t.TempDir(), port: basePort + blockPorts*(clusters%blocks),
+		processes: make(map[string]*exec.Cmd), logs: make(map[string]*os.File), options: o,
 	}
 	clusters++
-	c.links = newLinks(t, c.port)
+	c.links = newLinks(t, c.port+linkPort, c.count())
 	t.Cleanup(c.stopAll)
 	c.start("platform", "comfreyvale-standin", "platform", "-log", c.address(0), "-list", c.address(1))
 	c.await("http://" + c.address(1) + "/vms")
-	for i := range upstreamCount {
-		c.startUpstream(i)
+	if o.upstreams > 0 {
+		c.start("group", "comfreyvale-standin", "group", "-name", "listings", "-count", fmt.Sprint(o.upstreams), "-slots", "4",
+			"-list", c.listURL())
+	} else {
+		for i := range upstreamCount {
+			c.startUpstream(i)
+		}
 	}
-	for i := range balancerCount {
+	for i := range c.count() {
 		c.startBalancer(i)
 	}
-	c.publish("first", "../examples/lanasur")
-	for i := range balancerCount {
+	c.publish("first", cmp.Or(o.service, "../examples/lanasur"))
+	for i := range c.count() {
 		c.await("http://" + c.admin(i) + "/ready")
 	}
-	c.awaitMembers(balancerCount)
+	c.awaitMembers(c.count())
 	return c
 }
 
+// count is the number of balancers.
+func (c *cluster) count() int { return cmp.Or(c.options.balancers, balancerCount) }
+
 func (c *cluster) address(offset int) string { return fmt.Sprintf("127.0.0.1:%d", c.port+offset) }
 func (c *cluster) logURL() string            { return "http://" + c.address(0) }
 func (c *cluster) listURL() string           { return "http://" + c.address(1) }
-func (c *cluster) caller(i int) string       { return c.address(20 + i) }
-func (c *cluster) admin(i int) string        { return c.address(30 + i) }
+func (c *cluster) caller(i int) string       { return c.address(callerPort + i) }
+func (c *cluster) admin(i int) string        { return c.address(adminPort + i) }
 
 func (c *cluster) callers() []string {
 	var all []string
-	for i := range balancerCount {
+	for i := range c.count() {
 		all = append(all, c.caller(i))
 	}
 	return all
@@ -124,7 +152,7 @@
 func (c *cluster) startUpstream(i int) {
 	name := fmt.Sprintf("listings-%d", i+1)
 	c.start(name, "comfreyvale-standin", "upstream", "-name", name, "-group", "listings", "-slots", "4",
-		"-listen", c.address(50+i), "-list", c.listURL(), "-seed", fmt.Sprint(i+1))
+		"-listen", c.address(upstreamPort+i), "-list", c.listURL(), "-seed", fmt.Sprint(i+1))
 }
 
 func (c *cluster) startBalancer(i int) {
@@ -143,7 +171,8 @@
 logRetention: 8s
 suspectAfter: 2s
 stop: {lag: 300ms, limit: 20s}
-`, name, i%3+1, c.caller(i), c.admin(i), c.links.real(i), c.links.advertised(i), c.logURL(), c.listURL())
+policy: %s
+`, name, i%3+1, c.caller(i), c.admin(i), c.links.real(i), c.links.advertised(i), c.logURL(), c.listURL(), cmp.Or(c.options.policy, "soonest"))
 	path := filepath.Join(c.directory, name+".yaml")
 	require.NoError(c.t, os.WriteFile(path, []byte(settings), 0o600))
 	c.put(c.listURL()+"/vms/"+name, map[string]any{"group": "comfreyvale", "dataCentre": "dc-1", "address": c.admin(i)})
@@ -190,7 +219,7 @@
 func (c *cluster) awaitMembers(count int) {
 	operator := &cvoperator.Operator{}
 	require.Eventually(c.t, func() bool {
-		for i := range balancerCount {
+		for i := range c.count() {
 			s, err := operator.Status(context.Background(), c.admin(i))
 			if err != nil || len(s.Members) != count || len(s.Linked) != count-1 {
 				return false
@@ -246,15 +275,15 @@
 }
 
 // runs gathers what ran on all upstreams.
-func (c *cluster) runs() []cvupstream.Run {
-	var all []cvupstream.Run
+func (c *cluster) runs() []cvrun.Run {
+	var all []cvrun.Run
 	for i := range upstreamCount {
-		response, err := http.Get("http://" + c.address(50+i) + "/control/runs")
+		response, err := http.Get("http://" + c.address(upstreamPort+i) + "/control/runs")
 		require.NoError(c.t, err)
 		body, err := io.ReadAll(response.Body)
 		response.Body.Close()
 		require.NoError(c.t, err)
-		var some []cvupstream.Run
+		var some []cvrun.Run
 		require.NoError(c.t, json.Unmarshal(body, &some))
 		all = append(all, some...)
 	}
--- a/proof/judge_test.go
+++ b/proof/judge_test.go
@@ -5,7 +5,7 @@
 	"strings"
 
 	"comfreyvale/io/cvreport"
-	"comfreyvale/io/cvupstream"
+	"comfreyvale/io/cvrun"
 )
 
 // verdict is what the judge found in one run.
@@ -15,7 +15,7 @@
 }
 
 // judge compares what ran on the upstreams with what each caller was told.
-func judge(report *cvreport.Report, runs []cvupstream.Run) verdict {
+func judge(report *cvreport.Report, runs []cvrun.Run) verdict {
 	ranKeys := make(map[string]int)
 	ranTags := make(map[string]bool)
 	for _, r := range runs {
--- a/proof/links_test.go
+++ b/proof/links_test.go
@@ -20,9 +20,9 @@
 	done      chan struct{}
 }
 
-func newLinks(t *testing.T, port int) *links {
+func newLinks(t testing.TB, port, count int) *links {
 	l := &links{port: port, cut: make(map[[2]int]bool), done: make(chan struct{})}
-	for i := range balancerCount {
+	for i := range count {
 		listener, err := net.Listen("tcp", l.advertised(i))
 		require.NoError(t, err)
 		l.listeners = append(l.listeners, listener)
@@ -32,10 +32,10 @@
 }
 
 // real is where a balancer listens. Its number is also the source of the links that it opens.
-func (l *links) real(i int) string { return fmt.Sprintf("127.0.0.%d:%d", 11+i, l.port+40) }
+func (l *links) real(i int) string { return fmt.Sprintf("127.0.0.%d:%d", 11+i, l.port) }
 
 // advertised is where the others find it.
-func (l *links) advertised(i int) string { return fmt.Sprintf("127.0.0.1:%d", l.port+40+i) }
+func (l *links) advertised(i int) string { return fmt.Sprintf("127.0.0.1:%d", l.port+i) }
 
 func (l *links) accept(to int, listener net.Listener) {
 	for {
--- a/proof/operation_test.go
+++ b/proof/operation_test.go
@@ -162,7 +162,7 @@
 		rolling(c, nil)
 		for i := range upstreamCount {
 			name := fmt.Sprintf("listings-%d", i+1)
-			c.put(c.listURL()+"/vms/"+name, map[string]any{"group": "listings", "dataCentre": "dc-1", "address": c.address(50 + i), "leaving": true})
+			c.put(c.listURL()+"/vms/"+name, map[string]any{"group": "listings", "dataCentre": "dc-1", "address": c.address(upstreamPort + i), "leaving": true})
 			time.Sleep(600 * time.Millisecond)
 			c.stop(name)
 			c.startUpstream(i)
@@ -228,7 +228,7 @@
 // time, no balancer sends it anything, though only one can have heard it first.
 func TestDrainIsHeard(t *testing.T) {
 	c := newCluster(t)
-	c.send(http.MethodPost, "http://"+c.address(50)+"/control", map[string]any{"drain": true})
+	c.send(http.MethodPost, "http://"+c.address(upstreamPort)+"/control", map[string]any{"drain": true})
 	load := orders(c, 1, "drain")
 	load.Duration = drainTime
 	_, err := load.Run(context.Background())
@@ -243,7 +243,7 @@
 
 // served is the number of requests that an upstream has served.
 func (c *cluster) served(i int) int64 {
-	response, err := http.Get("http://" + c.address(50+i) + "/control/counts")
+	response, err := http.Get("http://" + c.address(upstreamPort+i) + "/control/counts")
 	require.NoError(c.t, err)
 	defer response.Body.Close()
 	var counts map[string]int64
@@ -256,7 +256,7 @@
 func TestPoisonRequest(t *testing.T) {
 	c := newCluster(t)
 	for i := range upstreamCount {
-		c.send(http.MethodPost, "http://"+c.address(50+i)+"/control", map[string]any{"poisonMark": "poison"})
+		c.send(http.MethodPost, "http://"+c.address(upstreamPort+i)+"/control", map[string]any{"poisonMark": "poison"})
 	}
 	load := orders(c, 1, "innocent")
 	load.Duration = 5 * time.Second
@@ -283,7 +283,7 @@
 	report := <-done
 	lost := 0
 	for i := range upstreamCount {
-		if _, err := http.Get("http://" + c.address(50+i) + "/control/counts"); err != nil {
+		if _, err := http.Get("http://" + c.address(upstreamPort+i) + "/control/counts"); err != nil {
 			lost++
 		}
 	}
--- a/recorder.go
+++ b/recorder.go
@@ -31,7 +31,6 @@
 	CauseUpstreamRefused  Cause = "upstreamRefused"
 	CauseUpstreamBroke    Cause = "upstreamBroke"
 	CauseAnswerUnframed   Cause = "answerUnframed"
-	CauseUpstreamError    Cause = "upstreamError"
 	CauseRetryBudget      Cause = "retryBudget"
 	CauseRetried          Cause = "retried"
 	CauseHedged           Cause = "hedged"
@@ -43,8 +42,6 @@
 	CauseKeyRequired      Cause = "keyRequired"
 	CauseClaimUnavailable Cause = "claimUnavailable"
 	CauseClaimHolderGone  Cause = "claimHolderGone"
-	CauseClaimWindow      Cause = "claimWindow"
-	CauseStopping         Cause = "stopping"
 )
 
 // Ran says what is known of whether a request was run by an upstream.
