Hedge only into idle slots, share counts every 10 ms, let newcomers fill up

Cause: at 90% of the slots hedging made everything slower (p50 58.1 ms, p99 205.2 with hedges; 24.1 and 110.0 without): its 7% of further tries took slots that waiting calls needed. Some rows without hedges had p99 of 241 to 282 ms beside 98: the upstreams that the VM list named late were ramped up over 2 s while calls waited. Ruled out for the latter: compiling beside the run (seen again without), the stalls (seen in a steady row too).

--- a/core/cvpicker/cvpicker.go
+++ b/core/cvpicker/cvpicker.go
@@ -70,11 +70,25 @@
 }
 
 // Pick chooses the upstream with a free slot that is expected to answer soonest, and counts the try as begun.
+// An upstream that joined lately gets all its slots only when no other has a free one.
 func (p *Picker) Pick(now time.Time, draw uint64, avoid []string) (comfreyvale.VM, bool) {
+	best := p.choose(now, draw, avoid, p.limit)
+	if best == nil {
+		best = p.choose(now, draw, avoid, func(time.Time, *upstream) int { return p.slots })
+	}
+	if best == nil {
+		return comfreyvale.VM{}, false
+	}
+	best.begin(now)
+	return best.vm, true
+}
+
+// choose returns the upstream of the lowest score within a limit of tries in flight, or nil.
+func (p *Picker) choose(now time.Time, draw uint64, avoid []string, limit func(time.Time, *upstream) int) *upstream {
 	var best *upstream
 	var bestScore float64
 	for i, u := range p.upstreams {
-		if slices.Contains(avoid, u.vm.Name()) || !p.open(now, u) {
+		if slices.Contains(avoid, u.vm.Name()) || !p.open(now, u, limit) {
 			continue
 		}
 		score := p.score(now, u) * (1 + noiseShare*noise(draw, i))
@@ -82,11 +96,20 @@
 			best, bestScore = u, score
 		}
 	}
-	if best == nil {
-		return comfreyvale.VM{}, false
+	return best
+}
+
+// Busy is the share of all slots that are taken, as far as known.
+func (p *Picker) Busy(now time.Time) float64 {
+	taken, slots := 0, 0
+	for _, u := range p.upstreams {
+		if u.closed(now) {
+			continue
+		}
+		taken += u.load(now)
+		slots += p.slots
 	}
-	best.begin(now)
-	return best.vm, true
+	return float64(taken) / float64(max(slots, 1))
 }
 
 // noise returns a number from 0 to 1 that depends on the draw and the upstream's index.
@@ -99,14 +122,14 @@
 }
 
 // open says whether an upstream may get one more try.
-func (p *Picker) open(now time.Time, u *upstream) bool {
-	if u.vm.Leaving() || now.Before(u.drainingUntil) {
+func (p *Picker) open(now time.Time, u *upstream, limit func(time.Time, *upstream) int) bool {
+	if u.closed(now) {
 		return false
 	}
-	if u.ejected {
-		return now.After(u.ejectedUntil) && u.own() == 0
+	if u.ejected && u.own() > 0 {
+		return false
 	}
-	return u.load(now) < p.limit(now, u)
+	return u.load(now) < limit(now, u)
 }
 
 // limit is how many tries an upstream may have in flight: one at first, all slots after the ramp.
--- a/core/cvpicker/upstream.go
+++ b/core/cvpicker/upstream.go
@@ -50,6 +50,11 @@
 	return total
 }
 
+// closed says whether the upstream gets no calls: it is leaving, draining, or ejected for a time yet.
+func (u *upstream) closed(now time.Time) bool {
+	return u.vm.Leaving() || now.Before(u.drainingUntil) || (u.ejected && !now.After(u.ejectedUntil))
+}
+
 func (u *upstream) begin(now time.Time) { u.begun = append(u.begun, now) }
 
 // end takes out the try that began nearest to its latency ago.
--- a/io/cvdispatcher/cvdispatcher.go
+++ b/io/cvdispatcher/cvdispatcher.go
@@ -24,6 +24,9 @@
 	"comfreyvale/io/cvexchanger"
 )
 
+// hedgeBusy is the share of taken slots above which no call is hedged.
+const hedgeBusy = 0.8
+
 // fault is the error type of this package.
 type fault struct{ cvfault.Fault }
 
@@ -275,6 +278,19 @@
 	return d.retrier.Allow(now)
 }
 
+// AllowHedge takes one further try from the budget, unless the slots are needed for calls that have none yet.
+func (d *Dispatcher) AllowHedge(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.admitter.Waiting() > 0 {
+		return false
+	}
+	if p, ok := d.admitter.Picker.(*cvpicker.Picker); ok && p.Busy(now) > hedgeBusy {
+		return false
+	}
+	return d.retrier.Allow(now)
+}
+
 // Answered takes in the latency of a whole answer.
 func (d *Dispatcher) Answered(now time.Time, class string, latency time.Duration) {
 	d.mu.Lock()
--- a/io/cvrunner/cvrunner.go
+++ b/io/cvrunner/cvrunner.go
@@ -160,7 +160,7 @@
 	}
 	for t := range a.cancels {
 		upstream := t.current()
-		if upstream == "" || !a.dispatcher.AllowRetry(now) {
+		if upstream == "" || !a.dispatcher.AllowHedge(now) {
 			return
 		}
 		a.avoid = append(a.avoid, upstream)
--- a/io/cvsettings/cvsettings.go
+++ b/io/cvsettings/cvsettings.go
@@ -35,7 +35,7 @@
 	{Path: "vmList.address", Kind: cvfield.Text, Required: true, Pattern: urlPattern, Allowed: urlAllowed, Effect: "The platform's VM list."},
 	{Path: "vmList.poll", Kind: cvfield.Duration, Default: "1s", Min: "100ms", Max: "1m", Effect: "How often the VM list is read."},
 	{Path: "policy", Kind: cvfield.Text, Default: "soonest", Pattern: "soonest|leastOfTwo|robin|random|probing", Allowed: "soonest, leastOfTwo, robin, random or probing", Effect: "Routing policy; all but soonest are there for comparison."},
-	{Path: "gossip", Kind: cvfield.Duration, Default: "5ms", Min: "1ms", Max: "1s", Effect: "How often changes are told to the other balancers at most."},
+	{Path: "gossip", Kind: cvfield.Duration, Default: "10ms", Min: "1ms", Max: "1s", Effect: "How often changes are told to the other balancers at most."},
 	{Path: "suspectAfter", Kind: cvfield.Duration, Default: "3s", Min: "500ms", Max: "1m", Effect: "How long a balancer must be unreachable for most others before it is taken out of the roster."},
 	{Path: "journalInterval", Kind: cvfield.Duration, Default: "20ms", Min: "1ms", Max: "1s", Effect: "Time between two journal appends of one home at least; claims in between share one."},
 	{Path: "answerMemory", Kind: cvfield.Size, Default: "64MiB", Min: "1MiB", Max: "4GiB", Effect: "Bytes of answers that are held at a time until they are whole; further ones stream."},
