Let one wait and one look for unread journals serve all

Cause: a wait that ends with its context stood in five packages, and the choice of departures whose journals were not read stood twice in the takeover.

Ruled out, left as they are: the error type that each package has by house style, the accessors of small messages, and generated code.

Change: cvpause holds the wait; unread returns the departures, and its emptiness is the check. Behaviour is the same; no test was changed.

--- a/io/cvbalancer/cvbalancer.go
+++ b/io/cvbalancer/cvbalancer.go
@@ -34,6 +34,7 @@
 	"comfreyvale/io/cvhomes"
 	"comfreyvale/io/cvmember"
 	"comfreyvale/io/cvmetrics"
+	"comfreyvale/io/cvpause"
 	"comfreyvale/io/cvpeers"
 	"comfreyvale/io/cvrunner"
 	"comfreyvale/io/cvsettings"
@@ -233,7 +234,7 @@
 			b.setVMs(vms)
 		}
 		b.noteList(err)
-		pause(ctx, b.Settings.VMListPoll())
+		cvpause.For(ctx, b.Settings.VMListPoll())
 	}
 	return nil
 }
@@ -250,13 +251,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 func (b *Balancer) tick(ctx context.Context) error {
 	ticker := time.NewTicker(tickTime)
 	defer ticker.Stop()
--- a/io/cvfollower/cvfollower.go
+++ b/io/cvfollower/cvfollower.go
@@ -17,6 +17,7 @@
 	"comfreyvale/core/cvverdict"
 	"comfreyvale/core/cvwire"
 	"comfreyvale/io/cvmetrics"
+	"comfreyvale/io/cvpause"
 	"comfreyvale/io/cvtail"
 )
 
@@ -63,7 +64,7 @@
 		f.track(time.Now(), err)
 		if err != nil {
 			f.note("unreachable", err.Error())
-			pause(ctx, retryTime)
+			cvpause.For(ctx, retryTime)
 		}
 	}
 	return nil
@@ -92,13 +93,6 @@
 	return now.Sub(f.failing)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // step reads once and applies what came.
 func (f *Follower) step(ctx context.Context) error {
 	wait := pollTime
--- a/io/cvgossip/cvgossip.go
+++ b/io/cvgossip/cvgossip.go
@@ -12,6 +12,7 @@
 	"comfreyvale"
 	"comfreyvale/core/cvwire"
 	"comfreyvale/io/cvdispatcher"
+	"comfreyvale/io/cvpause"
 	"comfreyvale/io/cvpeers"
 	"comfreyvale/io/cvtable"
 )
@@ -62,20 +63,13 @@
 			g.tell(true)
 		case <-g.wake:
 			g.tell(false)
-			pause(ctx, g.Interval)
+			cvpause.For(ctx, g.Interval)
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 func (g *Gossip) init() {
 	g.once.Do(func() {
 		g.told = make(map[string]told)
--- a/io/cvhomes/cvhomes.go
+++ b/io/cvhomes/cvhomes.go
@@ -16,6 +16,7 @@
 	"comfreyvale/core/cvview"
 	"comfreyvale/core/cvwire"
 	"comfreyvale/io/cvmetrics"
+	"comfreyvale/io/cvpause"
 	"comfreyvale/io/cvpeers"
 )
 
@@ -292,7 +293,7 @@
 				return true
 			}
 		}
-		pause(ctx, retryTime)
+		cvpause.For(ctx, retryTime)
 	}
 	return false
 }
--- a/io/cvhomes/takeover.go
+++ b/io/cvhomes/takeover.go
@@ -14,6 +14,7 @@
 	"comfreyvale/core/cvview"
 	"comfreyvale/core/cvwire"
 	"comfreyvale/io/cvjournal"
+	"comfreyvale/io/cvpause"
 )
 
 const (
@@ -46,7 +47,7 @@
 		h.round++
 		return
 	}
-	if slices.Equal(h.homes, view.Homes()) && h.ready && !h.unread(view) {
+	if slices.Equal(h.homes, view.Homes()) && h.ready && len(h.unread(view)) == 0 {
 		return
 	}
 	h.homes = view.Homes()
@@ -56,9 +57,15 @@
 	go h.takeOver(h.ctx, view, incarnation, h.round)
 }
 
-// unread says whether the view has departures whose journals were not read yet.
-func (h *Homes) unread(view *cvview.View) bool {
-	return slices.ContainsFunc(view.Departures(), func(d *cvwire.Departure) bool { return !h.imported[d.GetIncarnation()] })
+// unread are the departures of a view whose journals were not taken over yet.
+func (h *Homes) unread(view *cvview.View) []*cvwire.Departure {
+	var found []*cvwire.Departure
+	for _, d := range view.Departures() {
+		if !h.imported[d.GetIncarnation()] {
+			found = append(found, d)
+		}
+	}
+	return found
 }
 
 // become starts over as another incarnation. What the earlier one granted stays known.
@@ -93,7 +100,9 @@
 // Until it is done, no key is granted here.
 func (h *Homes) takeOver(ctx context.Context, view *cvview.View, incarnation string, round int) {
 	began := time.Now()
-	unread := h.unreadDepartures(view)
+	h.mu.Lock()
+	unread := h.unread(view)
+	h.mu.Unlock()
 	for _, d := range unread {
 		h.readJournal(ctx, d, round)
 	}
@@ -119,19 +128,6 @@
 	h.Logger.WithFields(log.Fields{"epoch": view.Epoch(), "claims": h.home.Len(), "took": time.Since(began).String()}).Info("home ready")
 }
 
-// unreadDepartures are the departures whose journals were not taken over yet.
-func (h *Homes) unreadDepartures(view *cvview.View) []*cvwire.Departure {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	var found []*cvwire.Departure
-	for _, d := range view.Departures() {
-		if !h.imported[d.GetIncarnation()] {
-			found = append(found, d)
-		}
-	}
-	return found
-}
-
 func (h *Homes) current(ctx context.Context, round int) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -145,7 +141,7 @@
 		journal := &cvjournal.Journal{Log: h.Log, Incarnation: incarnation, Metrics: h.Metrics}
 		sealed, err := journal.Seal(ctx, h.Process)
 		if err != nil {
-			pause(ctx, appendPause)
+			cvpause.For(ctx, appendPause)
 			continue
 		}
 		lostUntil := sealed.LostUntil(time.UnixMilli(departure.GetAtUnixMs()), h.LongestWindow())
@@ -170,7 +166,7 @@
 		reply, err := h.Peers.Call(callCtx, member.GetProcess(), &cvwire.PeerRequest{Request: &cvwire.PeerRequest_Handover{Handover: request}})
 		cancel()
 		if err != nil || reply.GetHandover().GetEpoch() != epoch {
-			pause(ctx, retryTime)
+			cvpause.For(ctx, retryTime)
 			continue
 		}
 		h.mu.Lock()
@@ -183,13 +179,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // journal writes an incarnation's claims to its journal, a batch at a time, until the journal is closed.
 func (h *Homes) journal(ctx context.Context, home *cvhome.Home, incarnation string) {
 	journal := &cvjournal.Journal{Log: h.Log, Incarnation: incarnation, Metrics: h.Metrics}
@@ -211,7 +200,7 @@
 		closed, err := journal.Append(ctx, record)
 		for err != nil && ctx.Err() == nil {
 			h.refuseWaiters()
-			pause(ctx, appendPause)
+			cvpause.For(ctx, appendPause)
 			closed, err = journal.Append(ctx, record)
 		}
 		if closed {
@@ -219,7 +208,7 @@
 			return
 		}
 		h.committed(home)
-		pause(ctx, h.JournalInterval-time.Since(began))
+		cvpause.For(ctx, h.JournalInterval-time.Since(began))
 	}
 }
 
@@ -295,7 +284,7 @@
 		return nil
 	}
 	for ctx.Err() == nil && !h.drained() {
-		pause(ctx, retryTime)
+		cvpause.For(ctx, retryTime)
 	}
 	if ctx.Err() != nil {
 		return fail("close", comfreyvale.KindTimeout, errors.New("the journal does not hold all claims"))
--- a/io/cvmember/cvmember.go
+++ b/io/cvmember/cvmember.go
@@ -21,6 +21,7 @@
 	"comfreyvale/core/cvwire"
 	"comfreyvale/io/cvjournal"
 	"comfreyvale/io/cvmetrics"
+	"comfreyvale/io/cvpause"
 	"comfreyvale/io/cvtail"
 )
 
@@ -81,7 +82,7 @@
 	group.Go(func() error {
 		for ctx.Err() == nil {
 			if err := m.step(ctx); err != nil {
-				pause(ctx, retryTime)
+				cvpause.For(ctx, retryTime)
 			}
 		}
 		return nil
@@ -102,13 +103,6 @@
 	m.checked = time.Now()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // incarnation is this process's name in the roster; each eviction makes a new one.
 func (m *Membership) incarnation() string { return fmt.Sprintf("%s#%d", m.Process, m.number) }
 
@@ -239,7 +233,7 @@
 		if m.append(ctx, &cvwire.RosterRecord{Change: &cvwire.RosterRecord_Evict{Evict: incarnation}}) == nil {
 			m.awaitGone(ctx, incarnation)
 		}
-		pause(ctx, retryTime)
+		cvpause.For(ctx, retryTime)
 	}
 }
 
@@ -334,11 +328,11 @@
 	}()
 	journal := &cvjournal.Journal{Log: m.Log, Incarnation: incarnation, Metrics: m.Metrics}
 	if _, err := journal.Seal(ctx, m.Process); err != nil {
-		pause(ctx, retryTime)
+		cvpause.For(ctx, retryTime)
 		return
 	}
 	if err := m.append(ctx, &cvwire.RosterRecord{Change: &cvwire.RosterRecord_Evict{Evict: incarnation}}); err != nil {
-		pause(ctx, retryTime)
+		cvpause.For(ctx, retryTime)
 		return
 	}
 	m.Metrics.Changed("evict")
@@ -352,7 +346,7 @@
 		if m.View().Member(incarnation) == nil {
 			return
 		}
-		pause(ctx, watchTime)
+		cvpause.For(ctx, watchTime)
 	}
 }
 
@@ -370,7 +364,7 @@
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
-		pause(ctx, retryTime)
+		cvpause.For(ctx, retryTime)
 	}
 }
 
