Serve the routes of a platform's directory, thin

Cause: nothing of the product ran on the users' platform. Tests of the new packages are still to be written.

--- a/cmd/comfreyvale/main.go
+++ b/cmd/comfreyvale/main.go
@@ -24,6 +24,7 @@
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(commander.FlagsCommand(), "")
 	commander.Register(&runCommand{}, "balancer")
+	commander.Register(&serveCommand{}, "balancer")
 	commander.Register(&devCommand{}, "balancer")
 	commander.Register(&checkCommand{}, "configuration")
 	commander.Register(&publishCommand{}, "configuration")
--- /dev/null
+++ b/cmd/comfreyvale/serve.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/apex/log"
+	"github.com/google/subcommands"
+
+	"comfreyvale/io/cvlines"
+	"comfreyvale/io/cvnode"
+	"comfreyvale/io/cvnodesettings"
+	"comfreyvale/platform/cvformat"
+	"comfreyvale/platform/cvstore"
+)
+
+// settingsVariable names the environment variable that holds the path of the settings file.
+const settingsVariable = "COMFREYVALE_BOOT"
+
+// serveCommand runs a balancer whose routes and upstreams come from the platform's directory.
+type serveCommand struct {
+	settings string
+}
+
+func (*serveCommand) Name() string { return "serve" }
+func (*serveCommand) Synopsis() string {
+	return "run one balancer process for the routes in the platform's directory"
+}
+func (*serveCommand) Usage() string {
+	return `serve [-settings FILE]
+  Runs the balancer of one entry VM until SIGTERM, then stops without cutting requests.
+  The settings file is by default the one that COMFREYVALE_BOOT names.
+  Example: comfreyvale serve -settings /etc/comfreyvale/node.yaml
+  Exit status: 0 after a planned stop, 1 after a failure, 2 for wrong usage.
+`
+}
+
+// SetFlags defines the command's flags.
+func (c *serveCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", os.Getenv(settingsVariable), "the VM's settings file")
+}
+
+// Execute runs the command.
+func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	settings, err := cvnodesettings.Load(c.settings)
+	if err != nil {
+		return failed(err)
+	}
+	lines := &cvlines.Lines{Out: os.Stdout}
+	written, stop := context.WithCancel(context.Background())
+	flushed := make(chan error, 1)
+	go func() { flushed <- lines.Run(written) }()
+	store := cvstore.New(settings.Directory())
+	n := &cvnode.Node{
+		Settings: settings, Signs: cvformat.Signs(),
+		Configuration: store.Topic(cvformat.ConfigurationTopic), ConfigurationKey: cvformat.ConfigurationKey, ReadRoutes: cvformat.Routes,
+		Upstreams: store.Topic(cvformat.UpstreamTopic), ReadInstance: cvformat.Instance,
+		Logger: &log.Logger{Handler: lines, Level: log.InfoLevel},
+	}
+	err = n.Run(ctx)
+	stop()
+	<-flushed
+	if err != nil {
+		return failed(err)
+	}
+	return subcommands.ExitSuccess
+}
--- a/core/cvfield/cvfield.go
+++ b/core/cvfield/cvfield.go
@@ -9,6 +9,7 @@
 	Size     = "size"
 	Share    = "share"
 	Count    = "count"
+	Number   = "number"
 	Flag     = "flag"
 	List     = "list"
 )
--- /dev/null
+++ b/core/cvneed/cvneed.go
@@ -0,0 +1,39 @@
+// Package cvneed is what one request asks of the choice of its upstream.
+package cvneed
+
+import "time"
+
+// Need describes a request that waits for an upstream.
+type Need struct {
+	large    bool
+	priority int
+	target   time.Time
+	deadline time.Time
+	avoid    []string
+}
+
+// New returns the need of a request that is on time until target and useless after deadline.
+func New(target, deadline time.Time, priority int, large bool) Need {
+	return Need{target: target, deadline: deadline, priority: priority, large: large}
+}
+
+// WithAvoid returns the need with the upstreams that the request must not be sent to.
+func (n Need) WithAvoid(avoid []string) Need {
+	n.avoid = avoid
+	return n
+}
+
+// Large says that the answer is big.
+func (n Need) Large() bool { return n.large }
+
+// Priority is the request's rank; 0 is the most urgent.
+func (n Need) Priority() int { return n.priority }
+
+// Target is until when an answer is on time.
+func (n Need) Target() time.Time { return n.target }
+
+// Deadline is until when an answer is of any use.
+func (n Need) Deadline() time.Time { return n.deadline }
+
+// Avoid are the ids of upstreams that the request must not be sent to.
+func (n Need) Avoid() []string { return n.avoid }
--- /dev/null
+++ b/core/cvroutes/cvroutes.go
@@ -0,0 +1,76 @@
+// Package cvroutes is the table of routes at one version of the configuration.
+package cvroutes
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+
+	"comfreyvale/core/cvgroup"
+	"comfreyvale/core/cvlimits"
+	"comfreyvale/core/cvroute"
+)
+
+// Table is a whole configuration of routes. It never changes; a newer version is another table.
+type Table struct {
+	version int64
+	byHost  map[string][]*cvroute.Route
+	groups  map[string]cvgroup.Group
+	limits  cvlimits.Limits
+}
+
+// New returns the table of a version.
+func New(version int64, routes []*cvroute.Route, groups []cvgroup.Group, limits cvlimits.Limits) *Table {
+	t := &Table{version: version, byHost: make(map[string][]*cvroute.Route), groups: make(map[string]cvgroup.Group), limits: limits}
+	for _, r := range routes {
+		host := strings.ToLower(r.Host())
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, found := range t.byHost {
+		slices.SortFunc(found, longestFirst)
+	}
+	for _, g := range groups {
+		t.groups[g.Name()] = g
+	}
+	return t
+}
+
+func longestFirst(a, b *cvroute.Route) int {
+	if c := cmp.Compare(len(b.Prefix()), len(a.Prefix())); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Name(), b.Name())
+}
+
+// Version is the operator's version; a greater one is newer.
+func (t *Table) Version() int64 { return t.version }
+
+// Limits bound what callers may send.
+func (t *Table) Limits() cvlimits.Limits { return t.limits }
+
+// Group returns what the configuration says of a group of upstreams.
+func (t *Table) Group(name string) (cvgroup.Group, bool) {
+	g, ok := t.groups[name]
+	return g, ok
+}
+
+// Groups returns all groups of upstreams.
+func (t *Table) Groups() map[string]cvgroup.Group { return t.groups }
+
+// Match returns the route of the host with the longest prefix that begins the path, or false. The host may carry a port.
+func (t *Table) Match(host, path string) (*cvroute.Route, bool) {
+	for _, r := range t.byHost[hostName(host)] {
+		if strings.HasPrefix(path, r.Prefix()) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
--- a/core/cvschema/scalars.go
+++ b/core/cvschema/scalars.go
@@ -103,6 +103,8 @@
 	case cvfield.Count:
 		n, err := strconv.ParseInt(written, 10, 32)
 		return float64(n), err
+	case cvfield.Number:
+		return parseNumber(written)
 	case cvfield.Flag:
 		return parseFlag(written)
 	}
@@ -126,11 +128,16 @@
 	if !ok {
 		return 0, errors.New("has no percent sign")
 	}
-	n, err := strconv.ParseFloat(digits, 64)
+	n, err := parseNumber(digits)
+	return n / percent, err
+}
+
+func parseNumber(written string) (float64, error) {
+	n, err := strconv.ParseFloat(written, 64)
 	if err == nil && (math.IsNaN(n) || math.IsInf(n, 0)) {
 		return 0, errors.New("is no number")
 	}
-	return n / percent, err
+	return n, err
 }
 
 func parseFlag(written string) (float64, error) {
@@ -162,6 +169,7 @@
 		cvfield.Size:     "a size with unit, like 64MiB",
 		cvfield.Share:    "a share, like 5%",
 		cvfield.Count:    "a whole number",
+		cvfield.Number:   "a number",
 		cvfield.Flag:     "true or false",
 		cvfield.List:     "a list",
 	}[f.Kind]
--- /dev/null
+++ b/core/cvselector/cvselector.go
@@ -0,0 +1,277 @@
+// Package cvselector chooses the upstream that is expected to answer a request soonest, from its own tries in flight and
+// from load reports that came with earlier answers. It answers a load of many balancers before few slots, on machines
+// whose speed changes several times a second.
+package cvselector
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"comfreyvale"
+	"comfreyvale/core/cvinstance"
+	"comfreyvale/core/cvload"
+	"comfreyvale/core/cvneed"
+)
+
+const (
+	// slownessLife is the time in which a report of a machine's speed loses most of its worth: neighbours come and go
+	// every 300 ms.
+	slownessLife = 300 * time.Millisecond
+	// loadLife is the time in which a report of other balancers' requests loses most of its worth: about the length of
+	// one request.
+	loadLife = 250 * time.Millisecond
+	// initialWork is expected of a request before any was answered.
+	initialWork = 100 * time.Millisecond
+	// workGain is the weight of one more answer in the average work.
+	workGain = 0.05
+	// slownessGain is the weight of one more report in the average slowness.
+	slownessGain = 0.05
+	// lastSlotCost multiplies the time expected on an upstream whose last slot would be taken: many are slower when full.
+	lastSlotCost = 1.5
+	// warmUpCost multiplies the time expected on an upstream that has just started.
+	warmUpCost = 2
+	// remoteCost is the time that crossing data centres counts for: the way there and back, and its price.
+	remoteCost = 8 * time.Millisecond
+	// largeRemoteCost is the same for big answers, whose transfer between data centres is dear.
+	largeRemoteCost = 400 * time.Millisecond
+	// failureGain is the weight of one more result in the share of failures.
+	failureGain = 0.2
+	// failureCost multiplies the time expected on an upstream that only fails, on top of its own.
+	failureCost = 12
+	// failureLife is the time in which a share of failures loses most of its worth.
+	failureLife = 4 * time.Second
+	// ejectFailures is how many failures in a row eject an upstream.
+	ejectFailures = 3
+	// firstEjection and lastEjection bound the time for which an upstream is ejected; it doubles with each try that fails.
+	firstEjection = time.Second
+	lastEjection  = 8 * time.Second
+	// ejectFloor is the share of the upstreams that are never ejected together.
+	ejectFloor = 0.5
+	// noiseShare is how much chance moves an expected time, so that balancers do not all choose alike.
+	noiseShare = 0.08
+)
+
+// Selector chooses among the upstreams of one group. It is not safe for concurrent use.
+type Selector struct {
+	// DataCentre is where this balancer runs.
+	DataCentre string
+
+	members  []*member
+	byID     map[string]*member
+	work     float64
+	slowness float64
+	ejected  int
+}
+
+// Update replaces the set of upstreams; what is known of those that stay is kept.
+func (s *Selector) Update(now time.Time, instances []*cvinstance.Instance) {
+	known := s.byID
+	s.byID = make(map[string]*member, len(instances))
+	s.members = s.members[:0]
+	for _, i := range instances {
+		m := known[i.ID()]
+		if m == nil || !m.instance.SameStart(i) || m.instance.Address() != i.Address() {
+			m = &member{}
+		}
+		if m.instance != i {
+			m.instance = i
+			m.warmUntil = now.Add(i.WarmUp())
+		}
+		s.byID[i.ID()] = m
+		s.members = append(s.members, m)
+	}
+	s.ejected = 0
+	for _, m := range s.members {
+		if m.ejected {
+			s.ejected++
+		}
+	}
+}
+
+// Pick chooses an upstream with a free slot and counts the try as begun. The draw is a uniform random number.
+func (s *Selector) Pick(now time.Time, draw uint64, need cvneed.Need) (*cvinstance.Instance, bool) {
+	var best *member
+	var bestTime float64
+	for n, m := range s.members {
+		if slices.Contains(need.Avoid(), m.instance.ID()) || !m.open(now) || s.load(now, m) >= float64(m.instance.Slots()) {
+			continue
+		}
+		expected := s.expected(now, m, need) * (1 + noiseShare*noise(draw, n))
+		if best == nil || expected < bestTime {
+			best, bestTime = m, expected
+		}
+	}
+	if best == nil {
+		return nil, false
+	}
+	best.begin(now)
+	return best.instance, true
+}
+
+// Present is the number of upstreams that take work.
+func (s *Selector) Present(now time.Time) int {
+	count := 0
+	for _, m := range s.members {
+		if m.open(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// Work is how long a request takes on average on a machine of usual speed.
+func (s *Selector) Work() time.Duration {
+	if s.work == 0 {
+		return initialWork
+	}
+	return time.Duration(s.work)
+}
+
+// meanSlowness is how many times as long as usual requests take on average.
+func (s *Selector) meanSlowness() float64 { return max(s.slowness, 1) }
+
+// load is the number of requests expected in progress on an upstream, from all balancers.
+func (s *Selector) load(now time.Time, m *member) float64 {
+	return float64(len(m.begun)) + m.others*decay(now.Sub(m.reported), loadLife)
+}
+
+// expected is the time, in nanoseconds, that one more request is expected to take.
+func (s *Selector) expected(now time.Time, m *member, need cvneed.Need) float64 {
+	time := float64(s.Work()) * s.slownessOf(now, m)
+	if s.load(now, m)+1 > float64(m.instance.Slots())-0.5 {
+		time *= lastSlotCost
+	}
+	if now.Before(m.warmUntil) {
+		time *= warmUpCost
+	}
+	time *= 1 + failureCost*m.failures*decay(now.Sub(m.failedAt), failureLife)
+	if m.instance.DataCentre() == s.DataCentre {
+		return time
+	}
+	if need.Large() {
+		return time + float64(largeRemoteCost)
+	}
+	return time + float64(remoteCost)
+}
+
+// slownessOf is the slowness expected of an upstream's machine: its last report, drawn towards the average as it ages,
+// and at least what the oldest try in flight shows.
+func (s *Selector) slownessOf(now time.Time, m *member) float64 {
+	mean := s.meanSlowness()
+	slowness := mean
+	if m.slowness > 0 {
+		slowness = mean + (m.slowness-mean)*decay(now.Sub(m.measured), slownessLife)
+	}
+	if len(m.begun) > 0 && s.work > 0 {
+		slowness = max(slowness, float64(now.Sub(m.begun[0]))/s.work)
+	}
+	return slowness
+}
+
+// decay is the part of its worth that a report of an age still has.
+func decay(age, life time.Duration) float64 { return math.Exp(-float64(age) / float64(life)) }
+
+// noise returns a number from 0 to 1 that depends on the draw and the upstream's index.
+func noise(draw uint64, index int) float64 {
+	const multiplier = 0x9e3779b97f4a7c15
+	x := (draw + uint64(index+1)) * multiplier
+	x ^= x >> 32
+	x *= multiplier
+	return float64(x>>11) / (1 << 53)
+}
+
+// Report takes an upstream's own report of its load, which came with an answer.
+func (s *Selector) Report(now time.Time, id string, load cvload.Load) {
+	m := s.byID[id]
+	if m == nil {
+		return
+	}
+	m.reported = now
+	m.others = max(float64(load.Running()+load.Waiting()-len(m.begun)), 0)
+	if load.Slowness() <= 0 {
+		return
+	}
+	m.measured = now
+	m.slowness = load.Slowness()
+	if s.slowness == 0 {
+		s.slowness = load.Slowness()
+	}
+	s.slowness += slownessGain * (load.Slowness() - s.slowness)
+}
+
+// Done ends a try that Pick began at a time.
+func (s *Selector) Done(now time.Time, id string, began time.Time, result comfreyvale.Result) {
+	m := s.byID[id]
+	if m == nil {
+		return
+	}
+	m.end(began)
+	switch result {
+	case comfreyvale.ResultAnswered:
+		s.answered(now, m, now.Sub(began))
+	case comfreyvale.ResultFailed:
+		s.failed(now, m)
+	case comfreyvale.ResultRefused:
+		// It is full: what it runs is not known, but it is no less than its slots.
+		m.reported = now
+		m.others = max(m.others, float64(m.instance.Slots()-len(m.begun)))
+	}
+}
+
+func (s *Selector) answered(now time.Time, m *member, took time.Duration) {
+	m.failures = m.failures * decay(now.Sub(m.failedAt), failureLife) * (1 - failureGain)
+	m.failedAt = now
+	m.failuresInRow = 0
+	if m.ejected {
+		m.ejected = false
+		m.ejection = 0
+		s.ejected--
+	}
+	work := float64(took)
+	if m.slowness > 0 {
+		work /= m.slowness
+	}
+	if s.work == 0 {
+		s.work = work
+	}
+	s.work += workGain * (work - s.work)
+	if m.slowness == 0 {
+		// Without a report, the time taken is the only sign of the machine's speed.
+		m.measured = now
+	}
+}
+
+func (s *Selector) failed(now time.Time, m *member) {
+	m.failures = m.failures*decay(now.Sub(m.failedAt), failureLife)*(1-failureGain) + failureGain
+	m.failedAt = now
+	m.failuresInRow++
+	if m.failuresInRow < ejectFailures {
+		return
+	}
+	if !m.ejected && float64(s.ejected+1) > (1-ejectFloor)*float64(len(s.members)) {
+		return
+	}
+	if !m.ejected {
+		m.ejected = true
+		s.ejected++
+	}
+	m.ejection = min(max(2*m.ejection, firstEjection), lastEjection)
+	m.ejectedUntil = now.Add(m.ejection)
+}
+
+// Ejected are the ids of the upstreams that get no requests because of their failures, in order.
+func (s *Selector) Ejected(now time.Time) []string {
+	var found []string
+	for _, m := range s.members {
+		if m.ejected && now.Before(m.ejectedUntil) {
+			found = append(found, m.instance.ID())
+		}
+	}
+	slices.SortFunc(found, cmp.Compare[string])
+	return found
+}
+
+// String names the policy.
+func (s *Selector) String() string { return "soonest by reports" }
--- a/core/cvvalues/cvvalues.go
+++ b/core/cvvalues/cvvalues.go
@@ -53,6 +53,9 @@
 // Count returns a count field.
 func (v *Values) Count(path string) int { return int(v.entries[path].number) }
 
+// Number returns a number field.
+func (v *Values) Number(path string) float64 { return v.entries[path].number }
+
 // Flag returns a flag field.
 func (v *Values) Flag(path string) bool { return v.entries[path].number != 0 }
 
--- /dev/null
+++ b/core/cvwaiter/cvwaiter.go
@@ -0,0 +1,38 @@
+// Package cvwaiter is one request that waits for an upstream's slot, and what it got.
+package cvwaiter
+
+import (
+	"time"
+
+	"comfreyvale/core/cvinstance"
+	"comfreyvale/core/cvneed"
+)
+
+// Waiter is a request on its way to a slot.
+type Waiter struct {
+	need     cvneed.Need
+	entered  time.Time
+	began    time.Time
+	instance *cvinstance.Instance
+}
+
+// New returns a request that entered at a time.
+func New(now time.Time, need cvneed.Need) *Waiter { return &Waiter{need: need, entered: now} }
+
+// Grant gives the request a slot of an upstream.
+func (w *Waiter) Grant(now time.Time, instance *cvinstance.Instance) {
+	w.began = now
+	w.instance = instance
+}
+
+// Need is what the request asks for.
+func (w *Waiter) Need() cvneed.Need { return w.need }
+
+// Entered is when the request began to wait.
+func (w *Waiter) Entered() time.Time { return w.entered }
+
+// Began is when the request got its slot.
+func (w *Waiter) Began() time.Time { return w.began }
+
+// Instance is the upstream whose slot the request got, or nil.
+func (w *Waiter) Instance() *cvinstance.Instance { return w.instance }
--- /dev/null
+++ b/io/cvnode/cvnode.go
@@ -0,0 +1,195 @@
+// Package cvnode is one balancer process whose routes and upstreams come from the platform's directory.
+package cvnode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"comfreyvale"
+	"comfreyvale/core/cvbudget"
+	"comfreyvale/core/cvfault"
+	"comfreyvale/core/cvfleet"
+	"comfreyvale/core/cvinstance"
+	"comfreyvale/core/cvlimits"
+	"comfreyvale/core/cvroutes"
+	"comfreyvale/core/cvsigns"
+	"comfreyvale/core/cvterms"
+	"comfreyvale/io/cvcaller"
+	"comfreyvale/io/cvnodesettings"
+	"comfreyvale/io/cvpool"
+	"comfreyvale/io/cvslots"
+)
+
+const (
+	// tickTime is the time between two looks at what only the passing of time changes.
+	tickTime = 20 * time.Millisecond
+	// sweepTime is the time between two looks for connections and entries that can go.
+	sweepTime = 500 * time.Millisecond
+	// headTime is how long the platform's check may take to send its request.
+	headTime = 2 * time.Second
+	// answerLimit is the size of the largest answer that is passed on.
+	answerLimit = 64 << 20
+)
+
+// fault is the error type of this package.
+type fault struct{ cvfault.Fault }
+
+func fail(operation string, kind comfreyvale.Kind, cause error) error {
+	return fault{cvfault.New(operation, kind, cause)}
+}
+
+// Node is one balancer process on one entry VM.
+type Node struct {
+	// Settings are the VM's own.
+	Settings *cvnodesettings.Settings
+	// Signs names the headers of the deployment.
+	Signs cvsigns.Signs
+	// Configuration is the directory that holds the routes under ConfigurationKey.
+	Configuration    comfreyvale.Directory
+	ConfigurationKey string
+	// ReadRoutes reads a record of the configuration.
+	ReadRoutes func(value []byte) (*cvroutes.Table, error)
+	// Upstreams is the directory of upstream instances.
+	Upstreams comfreyvale.Directory
+	// ReadInstance reads an instance's record.
+	ReadInstance func(id string, value []byte) (*cvinstance.Instance, error)
+	// Logger takes lines.
+	Logger log.Interface
+
+	terms    cvterms.Terms
+	routes   atomic.Pointer[cvroutes.Table]
+	stopping atomic.Bool
+	server   *cvcaller.Server
+	pool     *cvpool.Pool
+
+	mu     sync.Mutex
+	fleet  cvfleet.Fleet
+	groups map[string]*cvslots.Slots
+	turns  map[string]map[string]float64
+}
+
+// Run serves until the context ends, then stops in order.
+func (n *Node) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", n.Settings.Listen())
+	if err != nil {
+		return fail("listen", comfreyvale.KindUnavailable, err)
+	}
+	checks, err := net.Listen("tcp", n.Settings.Ready())
+	if err != nil {
+		callers.Close()
+		return fail("listen", comfreyvale.KindUnavailable, err)
+	}
+	n.build()
+	n.Logger.WithFields(log.Fields{"vm": n.Settings.VM(), "dataCentre": n.Settings.DataCentre(), "listen": n.Settings.Listen()}).Info("started")
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, background := errgroup.WithContext(background)
+	for _, run := range []func(context.Context) error{n.watchRoutes, n.watchUpstreams, n.tick} {
+		group.Go(func() error { return run(background) })
+	}
+	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headTime}
+	group.Go(func() error { return ended(ready.Serve(checks)) })
+	group.Go(func() error { return n.server.Serve(callers) })
+	select {
+	case <-ctx.Done():
+	case <-background.Done():
+	}
+	n.stop(callers)
+	ready.Close()
+	stop()
+	return group.Wait()
+}
+
+// ended turns the ordinary end of a server into no error.
+func ended(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fail("serve", comfreyvale.KindUnavailable, err)
+}
+
+func (n *Node) build() {
+	n.terms = n.Settings.Terms()
+	n.groups = make(map[string]*cvslots.Slots)
+	n.turns = make(map[string]map[string]float64)
+	n.pool = &cvpool.Pool{Signs: n.Signs, AnswerLimit: answerLimit, Opened: func(string) {}, Dropped: n.dropped}
+	n.server = &cvcaller.Server{Handle: n.handle, Repeatable: n.repeatable, Limits: n.limits, Refused: n.refusedUnread}
+}
+
+func (n *Node) dropped(instance, request, reason string) {
+	n.Logger.WithFields(log.Fields{"upstream": instance, "request": request, "reason": reason}).Warn("answer dropped")
+}
+
+func (n *Node) refusedUnread(remote string, status int, cause error) {
+	n.Logger.WithFields(log.Fields{"caller": remote, "status": status}).WithError(cause).Info("refused unread")
+}
+
+func (n *Node) limits() cvlimits.Limits {
+	if t := n.routes.Load(); t != nil {
+		return t.Limits()
+	}
+	return cvlimits.Default()
+}
+
+// serveReady tells the platform whether this VM takes new connections.
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if n.stopping.Load() || n.routes.Load() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// slots returns the decisions about a group.
+func (n *Node) slots(group string) *cvslots.Slots {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.groups[group]
+	if s == nil {
+		s = &cvslots.Slots{
+			DataCentre: n.Settings.DataCentre(), Balancers: n.balancers,
+			Budget: &cvbudget.Budget{Window: n.terms.RetryWindow(), Ratio: n.terms.RetryRatio() * retryShare, Slack: n.terms.RetrySlack() * retryShare},
+		}
+		n.groups[group] = s
+	}
+	return s
+}
+
+// tick lets waiting requests go on, and drops what is old.
+func (n *Node) tick(ctx context.Context) error {
+	ticker := time.NewTicker(tickTime)
+	defer ticker.Stop()
+	var swept time.Time
+	for {
+		select {
+		case now := <-ticker.C:
+			for _, s := range n.allSlots() {
+				s.Tick(now)
+			}
+			if now.Sub(swept) >= sweepTime {
+				swept = now
+				n.sweep(now)
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (n *Node) allSlots() []*cvslots.Slots {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	found := make([]*cvslots.Slots, 0, len(n.groups))
+	for _, s := range n.groups {
+		found = append(found, s)
+	}
+	return found
+}
--- /dev/null
+++ b/io/cvnode/directories.go
@@ -0,0 +1,146 @@
+package cvnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"comfreyvale"
+	"comfreyvale/core/cvinstance"
+	"comfreyvale/io/cvwatch"
+)
+
+// watchRoutes brings the newest configuration into force.
+func (n *Node) watchRoutes(ctx context.Context) error {
+	w := &cvwatch.Watch{
+		Directory: n.Configuration, Logger: n.Logger,
+		Reached: func(time.Time, bool) {},
+		Changed: func(_ time.Time, _ bool, changes []comfreyvale.Change) {
+			for _, c := range changes {
+				if c.Key() == n.ConfigurationKey && len(c.Value()) > 0 {
+					n.takeRoutes(c)
+				}
+			}
+		},
+	}
+	return w.Run(ctx)
+}
+
+// takeRoutes takes a configuration that is newer than the one in force.
+func (n *Node) takeRoutes(change comfreyvale.Change) {
+	table, err := n.ReadRoutes(change.Value())
+	fields := log.Fields{"offset": change.Offset()}
+	if err != nil {
+		n.Logger.WithFields(fields).WithError(err).Error("configuration ignored, the last one stays in force")
+		return
+	}
+	fields["version"] = table.Version()
+	old := n.routes.Load()
+	if old != nil && table.Version() <= old.Version() {
+		fields["inForce"] = old.Version()
+		n.Logger.WithFields(fields).Info("older configuration passed over")
+		return
+	}
+	n.routes.Store(table)
+	n.Logger.WithFields(fields).Info("configuration in force")
+}
+
+// watchUpstreams follows the upstream instances.
+func (n *Node) watchUpstreams(ctx context.Context) error {
+	w := &cvwatch.Watch{Directory: n.Upstreams, Logger: n.Logger, Reached: n.upstreamsReached, Changed: n.upstreamsChanged}
+	return w.Run(ctx)
+}
+
+func (n *Node) upstreamsReached(now time.Time, ok bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if ok {
+		n.fleet.Returned(now)
+		return
+	}
+	n.fleet.Away()
+}
+
+func (n *Node) upstreamsChanged(now time.Time, whole bool, changes []comfreyvale.Change) {
+	n.mu.Lock()
+	changed := false
+	if whole {
+		changed = n.fleet.Replace(now, n.readInstances(changes))
+	} else {
+		changed = n.followInstances(now, changes)
+	}
+	n.mu.Unlock()
+	if changed {
+		n.updateGroups(now)
+	}
+}
+
+func (n *Node) readInstances(changes []comfreyvale.Change) []*cvinstance.Instance {
+	var found []*cvinstance.Instance
+	for _, c := range changes {
+		if i := n.readInstance(c); i != nil {
+			found = append(found, i)
+		}
+	}
+	return found
+}
+
+// readInstance returns nil for a record that names no upstream.
+func (n *Node) readInstance(change comfreyvale.Change) *cvinstance.Instance {
+	i, err := n.ReadInstance(change.Key(), change.Value())
+	if err != nil {
+		n.Logger.WithFields(log.Fields{"upstream": change.Key(), "offset": change.Offset()}).WithError(err).Warn("entry ignored")
+		return nil
+	}
+	return i
+}
+
+func (n *Node) followInstances(now time.Time, changes []comfreyvale.Change) bool {
+	changed := false
+	for _, c := range changes {
+		if len(c.Value()) == 0 {
+			changed = n.fleet.Remove(now, c.Key()) || changed
+			continue
+		}
+		if i := n.readInstance(c); i != nil {
+			changed = n.fleet.Put(now, i) || changed
+		}
+	}
+	return changed
+}
+
+// updateGroups hands the instances to their groups.
+func (n *Node) updateGroups(now time.Time) {
+	n.mu.Lock()
+	byGroup := make(map[string][]*cvinstance.Instance)
+	for group := range n.groups {
+		byGroup[group] = nil
+	}
+	total := 0
+	for _, i := range n.fleet.Instances() {
+		byGroup[i.Group()] = append(byGroup[i.Group()], i)
+		total++
+	}
+	lapsed := n.fleet.Lapsed()
+	n.mu.Unlock()
+	for group, instances := range byGroup {
+		n.slots(group).Update(now, instances)
+	}
+	n.Logger.WithFields(log.Fields{"upstreams": total, "lapsed": lapsed}).Info("upstreams changed")
+}
+
+// sweep drops instances that did not come back, and connections that nobody needs.
+func (n *Node) sweep(now time.Time) {
+	n.mu.Lock()
+	expired := n.fleet.Expire(now)
+	wanted := make(map[string]bool)
+	for _, i := range n.fleet.Instances() {
+		wanted[i.ID()] = true
+	}
+	n.mu.Unlock()
+	if expired {
+		n.updateGroups(now)
+	}
+	n.pool.Retain(now, func(id string) bool { return wanted[id] })
+}
--- /dev/null
+++ b/io/cvnodesettings/cvnodesettings.go
@@ -0,0 +1,104 @@
+// Package cvnodesettings is the checked settings file of a VM whose routes and upstreams come from the platform's directory.
+package cvnodesettings
+
+import (
+	"os"
+
+	"comfreyvale"
+	"comfreyvale/core/cvfault"
+	"comfreyvale/core/cvfield"
+	"comfreyvale/core/cvschema"
+	"comfreyvale/core/cvterms"
+	"comfreyvale/core/cvvalues"
+)
+
+const (
+	addressPattern = `(\[[0-9a-f:]+\]|[0-9]{1,3}(\.[0-9]{1,3}){3}):[0-9]{1,5}`
+	addressAllowed = "an IP number and a port, like 10.0.0.1:8080"
+)
+
+// schema lists the fields of a settings file.
+var schema = cvschema.New([]cvfield.Field{
+	{Path: "vm", Kind: cvfield.Text, Required: true, Pattern: `[!-~]{1,100}`, Allowed: "1 to 100 visible characters", Effect: "Names this VM."},
+	{Path: "dataCentre", Kind: cvfield.Text, Required: true, Pattern: `[!-~]{1,100}`, Allowed: "1 to 100 visible characters", Effect: "Names the data centre that this VM runs in."},
+	{Path: "listen", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address for callers."},
+	{Path: "ready", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address at which the platform asks whether this VM takes new connections."},
+	{Path: "peer", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address for the other balancers."},
+	{Path: "admin", Kind: cvfield.Text, Default: "", Pattern: `|` + addressPattern, Allowed: addressAllowed, Effect: "Address for metrics; without it there are none."},
+	{Path: "seeds", Kind: cvfield.Texts, Default: "", Pattern: addressPattern, Allowed: "a list of addresses", Effect: "Peer addresses of some other balancers, to meet the others through."},
+	{Path: "directory", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address of the platform's log service, which holds routes and upstreams."},
+	{Path: "memory", Kind: cvfield.Count, Default: "512", Min: "32", Max: "1000000", Effect: "Memory of this VM in megabytes; bodies and answers in progress take a quarter at most."},
+	{Path: "terms.stop", Kind: cvfield.Duration, Default: "6s", Min: "1s", Max: "1h", Effect: "After the stop signal, when the platform kills the process."},
+	{Path: "terms.drain", Kind: cvfield.Duration, Default: "2s", Min: "100ms", Max: "1m", Effect: "Time in which a leaving upstream gets no new work any more."},
+	{Path: "terms.apply", Kind: cvfield.Duration, Default: "2s", Min: "100ms", Max: "1m", Effect: "Time in which an accepted configuration is in force."},
+	{Path: "terms.stable", Kind: cvfield.Duration, Default: "3s", Min: "100ms", Max: "1m", Effect: "Time after a disruption from which everything is expected to work as usual."},
+	{Path: "terms.retryRatio", Kind: cvfield.Number, Default: "0.1", Min: "0", Max: "10", Effect: "Further tries that each request allows, over all balancers, in any window."},
+	{Path: "terms.retryWindow", Kind: cvfield.Duration, Default: "10s", Min: "1s", Max: "10m", Effect: "Length of the window in which further tries are counted."},
+	{Path: "terms.retrySlack", Kind: cvfield.Number, Default: "10", Min: "0", Max: "1000000", Effect: "Further tries that a window allows on top, over all balancers."},
+	{Path: "terms.probesPerSecond", Kind: cvfield.Number, Default: "0", Min: "0", Max: "100000", Effect: "Health checks that one upstream allows in a second, from all balancers."},
+})
+
+// Settings is what one VM is told about itself and its surroundings.
+type Settings struct {
+	values *cvvalues.Values
+}
+
+// fault is the error type of this package.
+type fault struct{ cvfault.Fault }
+
+// Fields returns the fields of a settings file in the order of the reference page.
+func Fields() []cvfield.Field { return schema.Fields() }
+
+// Load reads and checks a settings file.
+func Load(file string) (*Settings, error) {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fault{cvfault.New("load", comfreyvale.KindNotFound, err)}
+	}
+	return Parse(file, content)
+}
+
+// Parse checks the content of a settings file. The error has a line for each problem.
+func Parse(file string, content []byte) (*Settings, error) {
+	values, err := schema.Parse(file, content)
+	if err != nil {
+		return nil, err
+	}
+	return &Settings{values: values}, nil
+}
+
+// VM is this VM's name.
+func (s *Settings) VM() string { return s.values.Text("vm") }
+
+// DataCentre is where this VM runs.
+func (s *Settings) DataCentre() string { return s.values.Text("dataCentre") }
+
+// Listen is the address for callers.
+func (s *Settings) Listen() string { return s.values.Text("listen") }
+
+// Ready is the address for the platform's readiness checks.
+func (s *Settings) Ready() string { return s.values.Text("ready") }
+
+// Peer is the address for the other balancers.
+func (s *Settings) Peer() string { return s.values.Text("peer") }
+
+// Admin is the address for metrics, or empty.
+func (s *Settings) Admin() string { return s.values.Text("admin") }
+
+// Seeds are peer addresses of some other balancers.
+func (s *Settings) Seeds() []string { return s.values.Texts("seeds") }
+
+// Directory is the address of the platform's log service.
+func (s *Settings) Directory() string { return s.values.Text("directory") }
+
+// MemoryMB is the memory of this VM in megabytes.
+func (s *Settings) MemoryMB() int { return s.values.Count("memory") }
+
+// Terms are the deployment's bounds.
+func (s *Settings) Terms() cvterms.Terms {
+	return cvterms.New().
+		WithStops(s.values.Duration("terms.drain"), s.values.Duration("terms.stop"), s.values.Duration("terms.stable")).
+		WithApply(s.values.Duration("terms.apply")).
+		WithRetries(s.values.Number("terms.retryRatio"), s.values.Duration("terms.retryWindow"), s.values.Number("terms.retrySlack")).
+		WithProbes(s.values.Number("terms.probesPerSecond"))
+}
--- /dev/null
+++ b/io/cvslots/cvslots.go
@@ -0,0 +1,178 @@
+// Package cvslots hands the slots of one group of upstreams to the requests of one balancer.
+package cvslots
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"comfreyvale"
+	"comfreyvale/core/cvadmission"
+	"comfreyvale/core/cvbudget"
+	"comfreyvale/core/cvfault"
+	"comfreyvale/core/cvinstance"
+	"comfreyvale/core/cvload"
+	"comfreyvale/core/cvneed"
+	"comfreyvale/core/cvselector"
+	"comfreyvale/core/cvwaiter"
+)
+
+// fault is the error type of this package.
+type fault struct{ cvfault.Fault }
+
+func fail(operation string, kind comfreyvale.Kind, cause error) error {
+	return fault{cvfault.New(operation, kind, cause)}
+}
+
+// Slots makes the decisions about one group one at a time.
+type Slots struct {
+	// DataCentre is where this balancer runs.
+	DataCentre string
+	// Budget bounds further tries.
+	Budget *cvbudget.Budget
+	// Balancers is the number of balancers that share the budget.
+	Balancers func() int
+
+	mu        sync.Mutex
+	admission *cvadmission.Admission
+	ready     map[*cvwaiter.Waiter]chan struct{}
+}
+
+// Update takes the group's upstreams.
+func (s *Slots) Update(now time.Time, instances []*cvinstance.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	s.admission.Selector.Update(now, instances)
+	s.advance(now)
+}
+
+func (s *Slots) init() {
+	if s.admission == nil {
+		s.admission = &cvadmission.Admission{Selector: &cvselector.Selector{DataCentre: s.DataCentre}}
+		s.ready = make(map[*cvwaiter.Waiter]chan struct{})
+	}
+}
+
+// Acquire waits for a slot. The kinds of its errors: KindNotFound without any upstream that takes work, KindExhausted when
+// the request cannot be answered in time, KindTimeout when the context ended first.
+func (s *Slots) Acquire(ctx context.Context, need cvneed.Need) (*cvwaiter.Waiter, error) {
+	waiter := cvwaiter.New(time.Now(), need)
+	ready, err := s.enter(waiter)
+	if err != nil || ready == nil {
+		return waiter, err
+	}
+	select {
+	case <-ready:
+	case <-ctx.Done():
+	}
+	if waiter, err = s.leave(waiter); err != nil && ctx.Err() != nil {
+		return nil, fail("acquire", comfreyvale.KindTimeout, context.Cause(ctx))
+	}
+	return waiter, err
+}
+
+// enter returns a nil channel when the slot was granted at once.
+func (s *Slots) enter(waiter *cvwaiter.Waiter) (<-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	now := waiter.Entered()
+	if s.admission.Selector.Present(now) == 0 {
+		return nil, fail("acquire", comfreyvale.KindNotFound, errors.New("no upstream of the group takes work"))
+	}
+	switch s.admission.Enter(now, rand.Uint64(), waiter) {
+	case cvadmission.Granted:
+		return nil, nil
+	case cvadmission.Refused:
+		return nil, fail("acquire", comfreyvale.KindExhausted, errors.Errorf("%d requests wait already, for another %s", s.admission.Len(), s.admission.Wait().Round(time.Millisecond)))
+	}
+	ready := make(chan struct{})
+	s.ready[waiter] = ready
+	return ready, nil
+}
+
+// leave ends a wait: with a slot, or without hope for one in time.
+func (s *Slots) leave(waiter *cvwaiter.Waiter) (*cvwaiter.Waiter, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.ready, waiter)
+	s.admission.Leave(waiter)
+	if waiter.Instance() == nil {
+		return nil, fail("acquire", comfreyvale.KindExhausted, errors.Errorf("no slot came free in time, %d requests wait", s.admission.Len()))
+	}
+	return waiter, nil
+}
+
+// advance grants free slots and ends hopeless waits. The caller holds the lock.
+func (s *Slots) advance(now time.Time) {
+	for _, w := range s.admission.Hopeless(now) {
+		s.wake(w)
+	}
+	for s.admission.Len() > 0 {
+		w, ok := s.admission.Next(now, rand.Uint64())
+		if !ok {
+			return
+		}
+		s.wake(w)
+	}
+}
+
+func (s *Slots) wake(w *cvwaiter.Waiter) {
+	if ready := s.ready[w]; ready != nil {
+		close(ready)
+		delete(s.ready, w)
+	}
+}
+
+// Release ends a try.
+func (s *Slots) Release(waiter *cvwaiter.Waiter, result comfreyvale.Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.admission.Selector.Done(now, waiter.Instance().ID(), waiter.Began(), result)
+	s.admission.Freed(now)
+	s.advance(now)
+}
+
+// Report takes an upstream's own report of its load.
+func (s *Slots) Report(now time.Time, id string, load cvload.Load) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	s.admission.Selector.Report(now, id, load)
+}
+
+// Tick lets waiting requests go on that only the passing of time has freed.
+func (s *Slots) Tick(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.admission != nil && s.admission.Len() > 0 {
+		s.advance(now)
+	}
+}
+
+// Begin counts a request against the budget of further tries.
+func (s *Slots) Begin(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Budget.Begin(now)
+}
+
+// AllowFurther takes one further try from the budget.
+func (s *Slots) AllowFurther(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Budget.Allow(now, s.Balancers())
+}
+
+// Wait is how long a request that enters now is expected to wait for a slot.
+func (s *Slots) Wait() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	return s.admission.Wait()
+}
--- /dev/null
+++ b/io/cvwatch/cvwatch.go
@@ -0,0 +1,115 @@
+// Package cvwatch follows a directory of the platform with few calls.
+package cvwatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/apex/log"
+
+	"comfreyvale"
+	"comfreyvale/core/cvfault"
+	"comfreyvale/io/cvpause"
+)
+
+const (
+	// followWait is how long a read waits for a record. Silent connections are found by the client, so it bounds nothing.
+	followWait = 20 * time.Second
+	// settleTime is the pause after a reading that brought records, in which further ones gather. A change must be in
+	// force two seconds after its acknowledgement; reading and applying take a tenth of that.
+	settleTime = 400 * time.Millisecond
+	// firstBackoff and lastBackoff are the pauses between failed readings. The last is below the time by which a VM that
+	// reaches the directory again must have read it.
+	firstBackoff = 150 * time.Millisecond
+	lastBackoff  = 1200 * time.Millisecond
+)
+
+// Watch reads one directory for ever and tells what changed.
+type Watch struct {
+	// Directory is what is read.
+	Directory comfreyvale.Directory
+	// Changed takes records; whole says that keys which are not among them are gone.
+	Changed func(now time.Time, whole bool, changes []comfreyvale.Change)
+	// Reached is told after each reading whether it succeeded, and how long the directory was out of reach before.
+	Reached func(now time.Time, ok bool)
+	// Logger takes a line when the directory is lost and when it is back.
+	Logger log.Interface
+
+	next    int64
+	known   bool
+	away    bool
+	since   time.Time
+	backoff time.Duration
+}
+
+// Run follows the directory until the context ends.
+func (w *Watch) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := w.read(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		cvpause.For(ctx, w.noted(time.Now(), err))
+	}
+	return nil
+}
+
+// read takes in one reading: everything at first and after lost history, else what is new.
+func (w *Watch) read(ctx context.Context) error {
+	if !w.known {
+		changes, err := w.Directory.Newest(ctx)
+		if err != nil {
+			return err
+		}
+		w.take(changes, true)
+		return nil
+	}
+	wait := followWait
+	if w.away {
+		// The first reading after an outage only has to show that the directory is back.
+		wait = 0
+	}
+	changes, err := w.Directory.Follow(ctx, w.next, wait)
+	if cvfault.KindOf(err) == comfreyvale.KindNotFound {
+		w.known = false
+		w.Logger.WithField("directory", w.Directory.String()).WithField("from", w.next).Warn("history lost, reading everything")
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	w.take(changes, false)
+	return nil
+}
+
+func (w *Watch) take(changes comfreyvale.Changes, whole bool) {
+	now := time.Now()
+	w.Reached(now, true)
+	w.next = changes.Next()
+	w.known = true
+	w.Changed(now, whole, changes.Records())
+}
+
+// noted keeps account of success and failure, and returns the pause before the next reading.
+func (w *Watch) noted(now time.Time, err error) time.Duration {
+	if err == nil {
+		if w.away {
+			w.Logger.WithField("directory", w.Directory.String()).WithField("awayMs", now.Sub(w.since).Milliseconds()).Info("directory is back")
+		}
+		w.away = false
+		w.backoff = 0
+		if !w.known {
+			return 0
+		}
+		return settleTime
+	}
+	w.Reached(now, false)
+	if !w.away {
+		w.away = true
+		w.since = now
+		w.Logger.WithField("directory", w.Directory.String()).WithError(err).Warn("directory is out of reach")
+	}
+	w.backoff = min(max(2*w.backoff, firstBackoff), lastBackoff)
+	return w.backoff/2 + rand.N(w.backoff/2)
+}
