Reload settings, end busy connections at a stop, prefer near upstreams

Change: settings are read again at the signal or when the file differs; a request that arrives during a stop is the last of its connection; crossing data centres counts 60 ms instead of 8.

--- a/cmd/comfreyvale/serve.go
+++ b/cmd/comfreyvale/serve.go
@@ -53,7 +53,7 @@
 	go func() { flushed <- lines.Run(written) }()
 	store := cvstore.New(settings.Directory())
 	n := &cvnode.Node{
-		Settings: settings, Signs: cvformat.Signs(),
+		Settings: settings, SettingsFile: c.settings, Signs: cvformat.Signs(),
 		Configuration: store.Topic(cvformat.ConfigurationTopic), ConfigurationKey: cvformat.ConfigurationKey, ReadRoutes: cvformat.Routes,
 		Upstreams: store.Topic(cvformat.UpstreamTopic), ReadInstance: cvformat.Instance,
 		Logger: &log.Logger{Handler: lines, Level: log.InfoLevel},
--- a/core/cvselector/cvselector.go
+++ b/core/cvselector/cvselector.go
@@ -33,7 +33,7 @@
 	// warmUpCost multiplies the time expected on an upstream that has just started.
 	warmUpCost = 2
 	// remoteCost is the time that crossing data centres counts for: the way there and back, and its price.
-	remoteCost = 8 * time.Millisecond
+	remoteCost = 60 * time.Millisecond
 	// largeRemoteCost is the same for big answers, whose transfer between data centres is dear.
 	largeRemoteCost = 400 * time.Millisecond
 	// failureGain is the weight of one more result in the share of failures.
--- a/io/cvcaller/connection.go
+++ b/io/cvcaller/connection.go
@@ -186,6 +186,8 @@
 	if c.closing {
 		return false
 	}
+	// While the server stops, a request that still arrives is the last one of its connection.
+	c.closing = c.server.stopping.Load()
 	c.pending++
 	c.server.inFlight.Add(1)
 	return true
--- a/io/cvnode/cvnode.go
+++ b/io/cvnode/cvnode.go
@@ -50,6 +50,8 @@
 type Node struct {
 	// Settings are the VM's own.
 	Settings *cvnodesettings.Settings
+	// SettingsFile is read again when it changes; empty never is.
+	SettingsFile string
 	// Signs names the headers of the deployment.
 	Signs cvsigns.Signs
 	// Configuration is the directory that holds the routes under ConfigurationKey.
@@ -64,7 +66,7 @@
 	// Logger takes lines.
 	Logger log.Interface
 
-	terms    cvterms.Terms
+	settings atomic.Pointer[cvnodesettings.Settings]
 	routes   atomic.Pointer[cvroutes.Table]
 	stopping atomic.Bool
 	server   *cvcaller.Server
@@ -92,7 +94,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, background := errgroup.WithContext(background)
-	for _, run := range []func(context.Context) error{n.watchRoutes, n.watchUpstreams, n.tick} {
+	for _, run := range []func(context.Context) error{n.watchRoutes, n.watchUpstreams, n.watchSettings, n.tick} {
 		group.Go(func() error { return run(background) })
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headTime}
@@ -117,7 +119,7 @@
 }
 
 func (n *Node) build() {
-	n.terms = n.Settings.Terms()
+	n.settings.Store(n.Settings)
 	n.groups = make(map[string]*cvslots.Slots)
 	n.turns = make(map[string]map[string]float64)
 	n.pool = &cvpool.Pool{Signs: n.Signs, AnswerLimit: answerLimit, Opened: func(string) {}, Dropped: n.dropped}
@@ -148,15 +150,19 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// terms are the deployment's bounds in force.
+func (n *Node) terms() cvterms.Terms { return n.settings.Load().Terms() }
+
 // slots returns the decisions about a group.
 func (n *Node) slots(group string) *cvslots.Slots {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s := n.groups[group]
 	if s == nil {
+		terms := n.terms()
 		s = &cvslots.Slots{
 			DataCentre: n.Settings.DataCentre(), Balancers: n.balancers,
-			Budget: &cvbudget.Budget{Window: n.terms.RetryWindow(), Ratio: n.terms.RetryRatio() * retryShare, Slack: n.terms.RetrySlack() * retryShare},
+			Budget: &cvbudget.Budget{Window: terms.RetryWindow(), Ratio: terms.RetryRatio() * retryShare, Slack: terms.RetrySlack() * retryShare},
 		}
 		n.groups[group] = s
 	}
--- a/io/cvnode/stop.go
+++ b/io/cvnode/stop.go
@@ -24,7 +24,7 @@
 	n.Logger.WithFields(log.Fields{"inFlight": n.server.InFlight(), "connections": n.server.Open()}).Info("stopping")
 	time.Sleep(noticeTime)
 	callers.Close()
-	limit := n.terms.Grace() - stopMargin
+	limit := n.terms().Grace() - stopMargin
 	for time.Since(began) < limit {
 		n.server.CloseIdle()
 		if n.server.InFlight() == 0 && n.server.Open() == 0 {
