--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	$(GO) run ./cmd/comfreyvale dev -demo examples
 
 test:
-	$(GO) test -race . ./cmd/... ./core/... ./io/...
+	$(GO) test -race . ./cmd/... ./core/... ./io/... ./platform/...
 	$(GO) test -count=1 -timeout 20m ./proof
 
 check:
--- a/claims.go
+++ b/claims.go
@@ -4,8 +4,6 @@
 	"context"
 	"net/http"
 	"time"
-
-	"comfreyvale/core/cvwire"
 )
 
 // Claims grants each key to at most one call, among all balancers.
@@ -121,15 +119,3 @@
 
 // Body is the whole body.
 func (a Answer) Body() []byte { return a.body }
-
-// Homes reaches the process that decides about a key, and the process that holds it.
-type Homes interface {
-	// Claim asks a key's home for a grant.
-	Claim(ctx context.Context, request *cvwire.ClaimRequest) *cvwire.ClaimReply
-	// Release tells a key's home that a grant was never dispatched and never will be.
-	Release(ctx context.Context, request *cvwire.ReleaseRequest)
-	// Answer asks a key's holder for the outcome.
-	Answer(ctx context.Context, holder string, request *cvwire.AnswerRequest) *cvwire.AnswerReply
-	// String names the implementation.
-	String() string
-}
--- a/cmd/comfreyvale-standin/main.go
+++ b/cmd/comfreyvale-standin/main.go
@@ -17,12 +17,12 @@
 	"github.com/google/subcommands"
 
 	"comfreyvale"
-	"comfreyvale/io/cvlistserver"
-	"comfreyvale/io/cvlogserver"
-	"comfreyvale/io/cvmemlist"
-	"comfreyvale/io/cvmemlog"
-	"comfreyvale/io/cvsample"
-	"comfreyvale/io/cvupstream"
+	"comfreyvale/io/standins/cvlistserver"
+	"comfreyvale/io/standins/cvlogserver"
+	"comfreyvale/io/standins/cvmemlist"
+	"comfreyvale/io/standins/cvmemlog"
+	"comfreyvale/io/standins/cvsample"
+	"comfreyvale/io/standins/cvupstream"
 )
 
 // stopTime is how long requests in progress may take after a stop signal.
--- a/cmd/comfreyvale/configuration.go
+++ b/cmd/comfreyvale/configuration.go
@@ -17,12 +17,12 @@
 	"comfreyvale/core/cvfield"
 	"comfreyvale/core/cvservice"
 	"comfreyvale/core/cvwire"
-	"comfreyvale/io/cvcollector"
-	"comfreyvale/io/cvhttplog"
-	"comfreyvale/io/cvlisting"
-	"comfreyvale/io/cvoperator"
-	"comfreyvale/io/cvpublisher"
-	"comfreyvale/io/cvsettings"
+	"comfreyvale/io/operators/cvcollector"
+	"comfreyvale/io/operators/cvoperator"
+	"comfreyvale/io/operators/cvpublisher"
+	"comfreyvale/io/operators/cvsettings"
+	"comfreyvale/io/store/cvhttplog"
+	"comfreyvale/io/store/cvlisting"
 )
 
 // checkCommand validates files.
--- a/cmd/comfreyvale/operation.go
+++ b/cmd/comfreyvale/operation.go
@@ -13,10 +13,10 @@
 
 	"comfreyvale"
 	"comfreyvale/core/cvstatus"
-	"comfreyvale/io/cvlisting"
-	"comfreyvale/io/cvload"
-	"comfreyvale/io/cvoperator"
-	"comfreyvale/io/cvprofile"
+	"comfreyvale/io/load/cvload"
+	"comfreyvale/io/load/cvprofile"
+	"comfreyvale/io/operators/cvoperator"
+	"comfreyvale/io/store/cvlisting"
 )
 
 // version is the release; the build's own details are added when printed.
--- a/cmd/comfreyvale/run.go
+++ b/cmd/comfreyvale/run.go
@@ -11,13 +11,13 @@
 
 	"comfreyvale"
 	"comfreyvale/core/cvfault"
-	"comfreyvale/io/cvbalancer"
-	"comfreyvale/io/cvdev"
-	"comfreyvale/io/cvhttplog"
-	"comfreyvale/io/cvlisting"
-	"comfreyvale/io/cvlogger"
-	"comfreyvale/io/cvsettings"
-	"comfreyvale/io/cvtracing"
+	"comfreyvale/io/balancers/cvbalancer"
+	"comfreyvale/io/operators/cvlogger"
+	"comfreyvale/io/operators/cvsettings"
+	"comfreyvale/io/operators/cvtracing"
+	"comfreyvale/io/standins/cvdev"
+	"comfreyvale/io/store/cvhttplog"
+	"comfreyvale/io/store/cvlisting"
 )
 
 // flushTime is how long the last spans may take to leave.
--- a/cmd/comfreyvale/serve.go
+++ b/cmd/comfreyvale/serve.go
@@ -8,9 +8,9 @@
 	"github.com/apex/log"
 	"github.com/google/subcommands"
 
-	"comfreyvale/io/cvlines"
-	"comfreyvale/io/cvnode"
-	"comfreyvale/io/cvnodesettings"
+	"comfreyvale/io/balancers/cvnode"
+	"comfreyvale/io/operators/cvlines"
+	"comfreyvale/io/operators/cvnodesettings"
 	"comfreyvale/platform/cvformat"
 	"comfreyvale/platform/cvstore"
 )
--- a/io/cvbalancer/causes_test.go
+++ b/io/balancers/cvbalancer/causes_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"comfreyvale"
-	"comfreyvale/io/cvoperator"
+	"comfreyvale/io/operators/cvoperator"
 )
 
 // TestCauses puts a fault in, sends a call, and asks what decided it: the setting with file, line, revision and author,
--- a/io/cvbalancer/cluster.go
+++ b/io/balancers/cvbalancer/cluster.go
@@ -11,12 +11,12 @@
 	"comfreyvale"
 	"comfreyvale/core/cvview"
 	"comfreyvale/core/cvwire"
-	"comfreyvale/io/cvclaims"
-	"comfreyvale/io/cvgossip"
-	"comfreyvale/io/cvhomes"
-	"comfreyvale/io/cvkeys"
-	"comfreyvale/io/cvmember"
-	"comfreyvale/io/cvpeers"
+	"comfreyvale/io/peers/cvclaims"
+	"comfreyvale/io/peers/cvgossip"
+	"comfreyvale/io/peers/cvhomes"
+	"comfreyvale/io/peers/cvkeys"
+	"comfreyvale/io/peers/cvpeers"
+	"comfreyvale/io/store/cvmember"
 )
 
 const (
--- a/io/cvbalancer/cluster_test.go
+++ b/io/balancers/cvbalancer/cluster_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"comfreyvale"
-	"comfreyvale/io/cvoperator"
+	"comfreyvale/io/operators/cvoperator"
 )
 
 // cutLog is the log as one VM sees it, which can be cut.
--- a/io/cvbalancer/harness_test.go
+++ b/io/balancers/cvbalancer/harness_test.go
@@ -17,14 +17,14 @@
 
 	"comfreyvale"
 	"comfreyvale/core/cvwire"
-	"comfreyvale/io/cvbalancer"
-	"comfreyvale/io/cvlogger"
-	"comfreyvale/io/cvmemlist"
-	"comfreyvale/io/cvmemlog"
-	"comfreyvale/io/cvpublisher"
-	"comfreyvale/io/cvsample"
-	"comfreyvale/io/cvsettings"
-	"comfreyvale/io/cvupstream"
+	"comfreyvale/io/balancers/cvbalancer"
+	"comfreyvale/io/operators/cvlogger"
+	"comfreyvale/io/operators/cvpublisher"
+	"comfreyvale/io/operators/cvsettings"
+	"comfreyvale/io/standins/cvmemlist"
+	"comfreyvale/io/standins/cvmemlog"
+	"comfreyvale/io/standins/cvsample"
+	"comfreyvale/io/standins/cvupstream"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/io/cvnode/cvnode.go
+++ b/io/balancers/cvnode/cvnode.go
@@ -22,10 +22,10 @@
 	"comfreyvale/core/cvroutes"
 	"comfreyvale/core/cvsigns"
 	"comfreyvale/core/cvterms"
-	"comfreyvale/io/cvcaller"
-	"comfreyvale/io/cvnodesettings"
-	"comfreyvale/io/cvpool"
-	"comfreyvale/io/cvslots"
+	"comfreyvale/io/callers/cvcaller"
+	"comfreyvale/io/operators/cvnodesettings"
+	"comfreyvale/io/upstreams/cvpool"
+	"comfreyvale/io/upstreams/cvslots"
 )
 
 const (
--- a/io/cvnode/directories.go
+++ b/io/balancers/cvnode/directories.go
@@ -8,7 +8,7 @@
 
 	"comfreyvale"
 	"comfreyvale/core/cvinstance"
-	"comfreyvale/io/cvwatch"
+	"comfreyvale/io/store/cvwatch"
 )
 
 // watchRoutes brings the newest configuration into force.
--- a/io/cvnode/reload.go
+++ b/io/balancers/cvnode/reload.go
@@ -8,7 +8,7 @@
 	"syscall"
 	"time"
 
-	"comfreyvale/io/cvnodesettings"
+	"comfreyvale/io/operators/cvnodesettings"
 )
 
 // settingsPoll is the time between two looks at the settings file, which may change without a signal.
--- a/io/cvnode/request.go
+++ b/io/balancers/cvnode/request.go
@@ -15,8 +15,8 @@
 	"comfreyvale/core/cvmessage"
 	"comfreyvale/core/cvneed"
 	"comfreyvale/core/cvroute"
-	"comfreyvale/io/cvheader"
-	"comfreyvale/io/cvslots"
+	"comfreyvale/io/callers/cvheader"
+	"comfreyvale/io/upstreams/cvslots"
 )
 
 const (
--- a/io/cvcaller/cvcaller.go
+++ b/io/callers/cvcaller/cvcaller.go
@@ -12,17 +12,9 @@
 	"github.com/pkg/errors"
 
 	"comfreyvale"
-	"comfreyvale/core/cvfault"
 	"comfreyvale/core/cvlimits"
 )
 
-// fault is the error type of this package.
-type fault struct{ cvfault.Fault }
-
-func fail(operation string, kind comfreyvale.Kind, cause error) error {
-	return fault{cvfault.New(operation, kind, cause)}
-}
-
 // acceptPause is the pause after a failed accept, so that a lack of descriptors is not met with a busy loop.
 const acceptPause = 10 * time.Millisecond
 
--- a/io/cvgateway/answers.go
+++ b/io/callers/cvgateway/answers.go
@@ -10,8 +10,8 @@
 
 	"comfreyvale"
 	"comfreyvale/core/cvrefusal"
-	"comfreyvale/io/cvheader"
-	"comfreyvale/io/cvreply"
+	"comfreyvale/io/callers/cvheader"
+	"comfreyvale/io/callers/cvreply"
 )
 
 const (
--- a/io/cvgateway/cvgateway.go
+++ b/io/callers/cvgateway/cvgateway.go
@@ -24,11 +24,11 @@
 	"comfreyvale/core/cvcall"
 	"comfreyvale/core/cvrefusal"
 	"comfreyvale/core/cvservice"
-	"comfreyvale/io/cvdispatcher"
-	"comfreyvale/io/cvheader"
-	"comfreyvale/io/cvmetrics"
-	"comfreyvale/io/cvreply"
-	"comfreyvale/io/cvrunner"
+	"comfreyvale/io/callers/cvheader"
+	"comfreyvale/io/callers/cvreply"
+	"comfreyvale/io/operators/cvmetrics"
+	"comfreyvale/io/upstreams/cvdispatcher"
+	"comfreyvale/io/upstreams/cvrunner"
 )
 
 const (
--- a/io/cvload/calls.go
+++ b/io/load/cvload/calls.go
@@ -11,10 +11,10 @@
 	"strings"
 	"time"
 
-	"comfreyvale/io/cvheader"
-	"comfreyvale/io/cvreport"
-	"comfreyvale/io/cvtold"
-	"comfreyvale/io/cvupstream"
+	"comfreyvale/io/callers/cvheader"
+	"comfreyvale/io/load/cvreport"
+	"comfreyvale/io/load/cvtold"
+	"comfreyvale/io/standins/cvupstream"
 )
 
 // The attempt numbers of sendings that are no resends; those have lower ones.
--- a/io/cvload/cvload.go
+++ b/io/load/cvload/cvload.go
@@ -17,8 +17,8 @@
 
 	"comfreyvale"
 	"comfreyvale/core/cvfault"
-	"comfreyvale/io/cvprofile"
-	"comfreyvale/io/cvreport"
+	"comfreyvale/io/load/cvprofile"
+	"comfreyvale/io/load/cvreport"
 )
 
 const (
--- a/io/cvreport/cvreport.go
+++ b/io/load/cvreport/cvreport.go
@@ -13,7 +13,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"comfreyvale/io/cvtold"
+	"comfreyvale/io/load/cvtold"
 )
 
 // The results that a call can have for its caller.
--- a/io/cvadmin/cvadmin.go
+++ b/io/operators/cvadmin/cvadmin.go
@@ -12,7 +12,7 @@
 	"comfreyvale"
 	"comfreyvale/core/cvstatus"
 	"comfreyvale/core/cvwire"
-	"comfreyvale/io/cvmetrics"
+	"comfreyvale/io/operators/cvmetrics"
 )
 
 // Admin answers operators.
--- a/io/cvpublisher/cvpublisher.go
+++ b/io/operators/cvpublisher/cvpublisher.go
@@ -17,8 +17,8 @@
 	"comfreyvale/core/cvreader"
 	"comfreyvale/core/cvverdict"
 	"comfreyvale/core/cvwire"
-	"comfreyvale/io/cvfollower"
-	"comfreyvale/io/cvtail"
+	"comfreyvale/io/store/cvfollower"
+	"comfreyvale/io/store/cvtail"
 )
 
 const (
--- a/io/cvclaims/cvclaims.go
+++ b/io/peers/cvclaims/cvclaims.go
@@ -11,7 +11,7 @@
 	"comfreyvale"
 	"comfreyvale/core/cvholder"
 	"comfreyvale/core/cvwire"
-	"comfreyvale/io/cvmetrics"
+	"comfreyvale/io/operators/cvmetrics"
 )
 
 const (
@@ -23,12 +23,24 @@
 	answerShare = 0.8
 )
 
+// homes reaches the process that decides about a key, and the process that holds it.
+type homes interface {
+	// Claim asks a key's home for a grant.
+	Claim(ctx context.Context, request *cvwire.ClaimRequest) *cvwire.ClaimReply
+	// Release tells a key's home that a grant was never dispatched and never will be.
+	Release(ctx context.Context, request *cvwire.ReleaseRequest)
+	// Answer asks a key's holder for the outcome.
+	Answer(ctx context.Context, holder string, request *cvwire.AnswerRequest) *cvwire.AnswerReply
+	// String names the implementation.
+	String() string
+}
+
 // Claims keeps the claims of one process.
 type Claims struct {
 	// Process names this process, the same through all its incarnations.
 	Process string
 	// Homes reaches homes and holders.
-	Homes comfreyvale.Homes
+	Homes homes
 	// AnswerBudget is how many bytes of answers are kept for resends.
 	AnswerBudget int64
 	// Metrics counts.
--- a/io/cvgossip/cvgossip.go
+++ b/io/peers/cvgossip/cvgossip.go
@@ -11,10 +11,10 @@
 
 	"comfreyvale"
 	"comfreyvale/core/cvwire"
-	"comfreyvale/io/cvdispatcher"
-	"comfreyvale/io/cvpause"
-	"comfreyvale/io/cvpeers"
-	"comfreyvale/io/cvtable"
+	"comfreyvale/io/balancers/cvpause"
+	"comfreyvale/io/peers/cvpeers"
+	"comfreyvale/io/upstreams/cvdispatcher"
+	"comfreyvale/io/upstreams/cvtable"
 )
 
 const (
--- a/io/cvhomes/cvhomes.go
+++ b/io/peers/cvhomes/cvhomes.go
@@ -15,9 +15,9 @@
 	"comfreyvale/core/cvhome"
 	"comfreyvale/core/cvview"
 	"comfreyvale/core/cvwire"
-	"comfreyvale/io/cvmetrics"
-	"comfreyvale/io/cvpause"
-	"comfreyvale/io/cvpeers"
+	"comfreyvale/io/balancers/cvpause"
+	"comfreyvale/io/operators/cvmetrics"
+	"comfreyvale/io/peers/cvpeers"
 )
 
 const (
--- a/io/cvhomes/cvhomes_test.go
+++ b/io/peers/cvhomes/cvhomes_test.go
@@ -13,11 +13,11 @@
 
 	"comfreyvale/core/cvview"
 	"comfreyvale/core/cvwire"
-	"comfreyvale/io/cvhomes"
-	"comfreyvale/io/cvlogger"
-	"comfreyvale/io/cvmemlog"
-	"comfreyvale/io/cvmetrics"
-	"comfreyvale/io/cvpeers"
+	"comfreyvale/io/operators/cvlogger"
+	"comfreyvale/io/operators/cvmetrics"
+	"comfreyvale/io/peers/cvhomes"
+	"comfreyvale/io/peers/cvpeers"
+	"comfreyvale/io/standins/cvmemlog"
 )
 
 func members(names ...string) []*cvwire.Member {
--- a/io/cvhomes/takeover.go
+++ b/io/peers/cvhomes/takeover.go
@@ -13,8 +13,8 @@
 	"comfreyvale/core/cvhome"
 	"comfreyvale/core/cvview"
 	"comfreyvale/core/cvwire"
-	"comfreyvale/io/cvjournal"
-	"comfreyvale/io/cvpause"
+	"comfreyvale/io/balancers/cvpause"
+	"comfreyvale/io/store/cvjournal"
 )
 
 const (
--- a/io/cvpeers/cvpeers.go
+++ b/io/peers/cvpeers/cvpeers.go
@@ -17,7 +17,7 @@
 	"comfreyvale"
 	"comfreyvale/core/cvfault"
 	"comfreyvale/core/cvwire"
-	"comfreyvale/io/cvmetrics"
+	"comfreyvale/io/operators/cvmetrics"
 )
 
 const (
--- a/io/cvpeers/cvpeers_test.go
+++ b/io/peers/cvpeers/cvpeers_test.go
@@ -20,9 +20,9 @@
 	"go.uber.org/goleak"
 
 	"comfreyvale/core/cvwire"
-	"comfreyvale/io/cvkeys"
-	"comfreyvale/io/cvmetrics"
-	"comfreyvale/io/cvpeers"
+	"comfreyvale/io/operators/cvmetrics"
+	"comfreyvale/io/peers/cvkeys"
+	"comfreyvale/io/peers/cvpeers"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/io/cvpeers/link.go
+++ b/io/peers/cvpeers/link.go
@@ -14,7 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"comfreyvale/core/cvwire"
-	"comfreyvale/io/cvmetrics"
+	"comfreyvale/io/operators/cvmetrics"
 )
 
 const (
--- a/io/cvdev/cvdev.go
+++ b/io/standins/cvdev/cvdev.go
@@ -18,13 +18,13 @@
 	"comfreyvale/core/cvfault"
 	"comfreyvale/core/cvservice"
 	"comfreyvale/core/cvwire"
-	"comfreyvale/io/cvbalancer"
-	"comfreyvale/io/cvcollector"
-	"comfreyvale/io/cvmemlist"
-	"comfreyvale/io/cvmemlog"
-	"comfreyvale/io/cvpublisher"
-	"comfreyvale/io/cvsample"
-	"comfreyvale/io/cvsettings"
+	"comfreyvale/io/balancers/cvbalancer"
+	"comfreyvale/io/operators/cvcollector"
+	"comfreyvale/io/operators/cvpublisher"
+	"comfreyvale/io/operators/cvsettings"
+	"comfreyvale/io/standins/cvmemlist"
+	"comfreyvale/io/standins/cvmemlog"
+	"comfreyvale/io/standins/cvsample"
 )
 
 const (
--- a/io/cvdev/demo.go
+++ b/io/standins/cvdev/demo.go
@@ -14,8 +14,8 @@
 	"github.com/pkg/errors"
 
 	"comfreyvale"
-	"comfreyvale/io/cvheader"
-	"comfreyvale/io/cvupstream"
+	"comfreyvale/io/callers/cvheader"
+	"comfreyvale/io/standins/cvupstream"
 )
 
 // demoFileBytes is the size of the file that is downloaded.
--- a/io/cvlistserver/cvlistserver.go
+++ b/io/standins/cvlistserver/cvlistserver.go
@@ -6,7 +6,7 @@
 	"net/http"
 
 	"comfreyvale"
-	"comfreyvale/io/cvmemlist"
+	"comfreyvale/io/standins/cvmemlist"
 )
 
 // Server serves a VM list in memory. PUT /vms/{name} adds a VM and DELETE /vms/{name} removes it.
--- a/io/cvlogserver/cvlogserver.go
+++ b/io/standins/cvlogserver/cvlogserver.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"comfreyvale/core/cvfault"
-	"comfreyvale/io/cvmemlog"
+	"comfreyvale/io/standins/cvmemlog"
 
 	"comfreyvale"
 )
--- a/io/cvsample/cvsample.go
+++ b/io/standins/cvsample/cvsample.go
@@ -10,8 +10,8 @@
 
 	"comfreyvale"
 	"comfreyvale/core/cvfault"
-	"comfreyvale/io/cvmemlist"
-	"comfreyvale/io/cvupstream"
+	"comfreyvale/io/standins/cvmemlist"
+	"comfreyvale/io/standins/cvupstream"
 )
 
 // fault is the error type of this package.
--- a/io/cvupstream/cvupstream.go
+++ b/io/standins/cvupstream/cvupstream.go
@@ -16,7 +16,7 @@
 
 	"golang.org/x/sync/semaphore"
 
-	"comfreyvale/io/cvrun"
+	"comfreyvale/io/standins/cvrun"
 )
 
 const (
--- a/io/cvfollower/cvfollower.go
+++ b/io/store/cvfollower/cvfollower.go
@@ -16,9 +16,9 @@
 	"comfreyvale/core/cvreader"
 	"comfreyvale/core/cvverdict"
 	"comfreyvale/core/cvwire"
-	"comfreyvale/io/cvmetrics"
-	"comfreyvale/io/cvpause"
-	"comfreyvale/io/cvtail"
+	"comfreyvale/io/balancers/cvpause"
+	"comfreyvale/io/operators/cvmetrics"
+	"comfreyvale/io/store/cvtail"
 )
 
 // Stream is the stream that publications are appended to.
--- a/io/cvfollower/cvfollower_test.go
+++ b/io/store/cvfollower/cvfollower_test.go
@@ -13,10 +13,10 @@
 	"comfreyvale/core/cvconfiguration"
 	"comfreyvale/core/cvreader"
 	"comfreyvale/core/cvwire"
-	"comfreyvale/io/cvfollower"
-	"comfreyvale/io/cvlogger"
-	"comfreyvale/io/cvmemlog"
-	"comfreyvale/io/cvmetrics"
+	"comfreyvale/io/operators/cvlogger"
+	"comfreyvale/io/operators/cvmetrics"
+	"comfreyvale/io/standins/cvmemlog"
+	"comfreyvale/io/store/cvfollower"
 )
 
 func publication(t *testing.T, id, slots string, base int64) *cvwire.ConfigurationRecord {
--- a/io/cvjournal/cvjournal.go
+++ b/io/store/cvjournal/cvjournal.go
@@ -11,7 +11,7 @@
 	"comfreyvale/core/cvfault"
 	"comfreyvale/core/cvsealed"
 	"comfreyvale/core/cvwire"
-	"comfreyvale/io/cvmetrics"
+	"comfreyvale/io/operators/cvmetrics"
 )
 
 // streamPrefix begins the names of journals' streams.
--- a/io/cvmember/cvmember.go
+++ b/io/store/cvmember/cvmember.go
@@ -19,10 +19,10 @@
 	"comfreyvale/core/cvsuspicion"
 	"comfreyvale/core/cvview"
 	"comfreyvale/core/cvwire"
-	"comfreyvale/io/cvjournal"
-	"comfreyvale/io/cvmetrics"
-	"comfreyvale/io/cvpause"
-	"comfreyvale/io/cvtail"
+	"comfreyvale/io/balancers/cvpause"
+	"comfreyvale/io/operators/cvmetrics"
+	"comfreyvale/io/store/cvjournal"
+	"comfreyvale/io/store/cvtail"
 )
 
 // Stream is the stream that changes of the roster are appended to.
--- a/io/cvwatch/cvwatch.go
+++ b/io/store/cvwatch/cvwatch.go
@@ -10,7 +10,7 @@
 
 	"comfreyvale"
 	"comfreyvale/core/cvfault"
-	"comfreyvale/io/cvpause"
+	"comfreyvale/io/balancers/cvpause"
 )
 
 const (
--- a/io/cvdispatcher/cvdispatcher.go
+++ b/io/upstreams/cvdispatcher/cvdispatcher.go
@@ -21,7 +21,7 @@
 	"comfreyvale/core/cvretrier"
 	"comfreyvale/core/cvservice"
 	"comfreyvale/core/cvticket"
-	"comfreyvale/io/cvexchanger"
+	"comfreyvale/io/upstreams/cvexchanger"
 )
 
 // hedgeBusy is the share of taken slots above which no call is hedged.
--- a/io/cvexchanger/cvexchanger_test.go
+++ b/io/upstreams/cvexchanger/cvexchanger_test.go
@@ -11,7 +11,7 @@
 
 	"comfreyvale"
 	"comfreyvale/core/cvfault"
-	"comfreyvale/io/cvexchanger"
+	"comfreyvale/io/upstreams/cvexchanger"
 )
 
 // TestSendsOnce answers one request and then breaks the connection on the next: net/http by itself sends that one again
--- a/io/cvrunner/cvrunner.go
+++ b/io/upstreams/cvrunner/cvrunner.go
@@ -11,8 +11,8 @@
 	"comfreyvale"
 	"comfreyvale/core/cvcall"
 	"comfreyvale/core/cvrefusal"
-	"comfreyvale/io/cvdispatcher"
-	"comfreyvale/io/cvreply"
+	"comfreyvale/io/callers/cvreply"
+	"comfreyvale/io/upstreams/cvdispatcher"
 )
 
 // Runner runs calls of any service.
--- a/io/cvrunner/resume.go
+++ b/io/upstreams/cvrunner/resume.go
@@ -7,8 +7,8 @@
 	"strings"
 
 	"comfreyvale/core/cvcall"
-	"comfreyvale/io/cvdispatcher"
-	"comfreyvale/io/cvreply"
+	"comfreyvale/io/callers/cvreply"
+	"comfreyvale/io/upstreams/cvdispatcher"
 )
 
 // Resume asks another upstream for the rest of an answer that broke off after the bytes sent.
--- a/io/cvrunner/try.go
+++ b/io/upstreams/cvrunner/try.go
@@ -18,8 +18,8 @@
 	"comfreyvale"
 	"comfreyvale/core/cvfault"
 	"comfreyvale/core/cvticket"
-	"comfreyvale/io/cvheader"
-	"comfreyvale/io/cvreply"
+	"comfreyvale/io/callers/cvheader"
+	"comfreyvale/io/callers/cvreply"
 )
 
 // outcome is how a try ended.
--- a/io/cvtable/cvtable.go
+++ b/io/upstreams/cvtable/cvtable.go
@@ -11,7 +11,7 @@
 	"comfreyvale"
 	"comfreyvale/core/cvconfiguration"
 	"comfreyvale/core/cvservice"
-	"comfreyvale/io/cvdispatcher"
+	"comfreyvale/io/upstreams/cvdispatcher"
 )
 
 // Table joins the configuration with the VM list.
--- a/proof/bench_test.go
+++ b/proof/bench_test.go
@@ -15,10 +15,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"comfreyvale/io/cvlisting"
-	"comfreyvale/io/cvload"
-	"comfreyvale/io/cvprofile"
-	"comfreyvale/io/cvreport"
+	"comfreyvale/io/load/cvload"
+	"comfreyvale/io/load/cvprofile"
+	"comfreyvale/io/load/cvreport"
+	"comfreyvale/io/store/cvlisting"
 )
 
 const (
--- a/proof/capacity_test.go
+++ b/proof/capacity_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"comfreyvale/io/cvload"
-	"comfreyvale/io/cvprofile"
+	"comfreyvale/io/load/cvload"
+	"comfreyvale/io/load/cvprofile"
 )
 
 const capacityTime = 8 * time.Second
--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -19,9 +19,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"comfreyvale/io/cvlisting"
-	"comfreyvale/io/cvoperator"
-	"comfreyvale/io/cvrun"
+	"comfreyvale/io/operators/cvoperator"
+	"comfreyvale/io/standins/cvrun"
+	"comfreyvale/io/store/cvlisting"
 )
 
 const (
--- a/proof/judge_test.go
+++ b/proof/judge_test.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"strings"
 
-	"comfreyvale/io/cvreport"
-	"comfreyvale/io/cvrun"
+	"comfreyvale/io/load/cvreport"
+	"comfreyvale/io/standins/cvrun"
 )
 
 // verdict is what the judge found in one run.
--- a/proof/memory_test.go
+++ b/proof/memory_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"comfreyvale/io/cvupstream"
+	"comfreyvale/io/standins/cvupstream"
 )
 
 const (
--- a/proof/once_test.go
+++ b/proof/once_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"comfreyvale/io/cvload"
-	"comfreyvale/io/cvprofile"
-	"comfreyvale/io/cvreport"
+	"comfreyvale/io/load/cvload"
+	"comfreyvale/io/load/cvprofile"
+	"comfreyvale/io/load/cvreport"
 )
 
 const (
--- a/proof/operation_test.go
+++ b/proof/operation_test.go
@@ -17,10 +17,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"comfreyvale/io/cvload"
-	"comfreyvale/io/cvoperator"
-	"comfreyvale/io/cvprofile"
-	"comfreyvale/io/cvreport"
+	"comfreyvale/io/load/cvload"
+	"comfreyvale/io/load/cvprofile"
+	"comfreyvale/io/load/cvreport"
+	"comfreyvale/io/operators/cvoperator"
 )
 
 // The times that the brief calls seconds.
