Count the ended request out of the load report that came with its answer

Cause: the report of an answer counts the request that ends with it (no report in 4,387 answers said 0 running), so that each upstream looked one request busier than it was and its last slots were left free.

--- a/core/cvselector/cvselector.go
+++ b/core/cvselector/cvselector.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// slownessLife is the time in which a report of a machine's speed loses most of its worth: neighbours come and go
+	// slownessLife is the time in which a report of a machine's speed loses its worth evenly: neighbours come and go
 	// every 300 ms.
 	slownessLife = 300 * time.Millisecond
 	// loadLife is the time in which a report of other balancers' requests loses most of its worth: about the length of
@@ -162,7 +162,7 @@
 	mean := s.meanSlowness()
 	slowness := mean
 	if m.slowness > 0 {
-		slowness = mean + (m.slowness-mean)*decay(now.Sub(m.measured), slownessLife)
+		slowness = mean + (m.slowness-mean)*max(0, 1-float64(now.Sub(m.measured))/float64(slownessLife))
 	}
 	if len(m.begun) > 0 && s.work > 0 {
 		slowness = max(slowness, float64(now.Sub(m.begun[0]))/s.work)
@@ -182,14 +182,15 @@
 	return float64(x>>11) / (1 << 53)
 }
 
-// Report takes an upstream's own report of its load, which came with an answer.
-func (s *Selector) Report(now time.Time, id string, load cvload.Load) {
+// Report takes an upstream's own report of its load. It came with the answer to a request that ended with it, unless ended
+// is 0: such a request is still among those that the report counts.
+func (s *Selector) Report(now time.Time, id string, load cvload.Load, ended int) {
 	m := s.byID[id]
 	if m == nil {
 		return
 	}
 	m.reported = now
-	m.others = max(float64(load.Running()+load.Waiting()-len(m.begun)), 0)
+	m.others = max(float64(load.Running()+load.Waiting()-ended-len(m.begun)), 0)
 	if load.Slowness() <= 0 {
 		return
 	}
--- a/io/balancers/cvnode/request.go
+++ b/io/balancers/cvnode/request.go
@@ -146,7 +146,7 @@
 		answer, err := e.node.pool.Exchange(ctx, waiter.Instance(), e.connections(), e.message, e.deadline, !e.route.Idempotent())
 		verdict := e.judge(ctx, answer, err)
 		e.slots.Release(waiter, verdict.result())
-		e.report(id, answer)
+		e.report(id, verdict, answer)
 		e.tried = append(e.tried, id)
 		if verdict == answered {
 			return answer
@@ -167,10 +167,14 @@
 }
 
 // report hands the load that came with an answer to the decisions.
-func (e *exchange) report(id string, answer comfreyvale.Answer) {
+func (e *exchange) report(id string, v verdict, answer comfreyvale.Answer) {
+	ended := 1
+	if v == refused {
+		ended = 0
+	}
 	if text := answer.Header().Get(e.node.Signs.Load); text != "" {
 		if load, ok := e.node.Signs.ParseLoad(text); ok {
-			e.slots.Report(time.Now(), id, load)
+			e.slots.Report(time.Now(), id, load, ended)
 		}
 	}
 }
--- a/io/upstreams/cvslots/cvslots.go
+++ b/io/upstreams/cvslots/cvslots.go
@@ -138,12 +138,12 @@
 	s.advance(now)
 }
 
-// Report takes an upstream's own report of its load.
-func (s *Slots) Report(now time.Time, id string, load cvload.Load) {
+// Report takes an upstream's own report of its load, and how many of the requests that it counts have just ended.
+func (s *Slots) Report(now time.Time, id string, load cvload.Load, ended int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.init()
-	s.admission.Selector.Report(now, id, load)
+	s.admission.Selector.Report(now, id, load, ended)
 }
 
 // Tick lets waiting requests go on that only the passing of time has freed.
