Hedge what may run twice; balancers tell each other tries and load reports

Cause: a balancer saw a machine's speed only by its own answers, and other balancers' requests hardly at all; a try that began on a slow machine takes four times as long whatever happens after. Change: a second try for idempotent requests after the 75% quantile of recent ones, out of the shared budget; datagrams every 20 ms within a data centre, every 200 ms to others, whole state every 500 ms.

--- /dev/null
+++ b/core/cvneighbours/cvneighbours.go
@@ -0,0 +1,145 @@
+// Package cvneighbours is what a balancer knows of the others: who is there, where, and when it was heard last.
+package cvneighbours
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// liveTime is how long a balancer counts as there without being heard: three whole messages of the slowest rate.
+	liveTime = 2 * time.Second
+	// countedTime is how long a balancer counts among those that share budgets: longer than a budget's window.
+	countedTime = 30 * time.Second
+	// forgetTime is how long an address that stays silent is still tried.
+	forgetTime = 2 * time.Minute
+	// retryTime is the time between two messages to an address that is silent.
+	retryTime = time.Second
+	// unknownBalancers is how many are assumed to share budgets before any was heard.
+	unknownBalancers = 12
+	// unheardBalancers is how many are assumed beside those that were heard.
+	unheardBalancers = 1
+)
+
+// Neighbours is the set of the other balancers. It is not safe for concurrent use.
+type Neighbours struct {
+	// Self is this balancer's address.
+	Self string
+	// DataCentre is where this balancer runs.
+	DataCentre string
+
+	known map[string]*neighbour
+}
+
+type neighbour struct {
+	process    uint64
+	number     uint64
+	dataCentre string
+	version    int64
+	stopping   bool
+	heard      time.Time
+	learned    time.Time
+	sent       time.Time
+}
+
+func (n *Neighbours) at(now time.Time, address string) *neighbour {
+	if n.known == nil {
+		n.known = make(map[string]*neighbour)
+	}
+	found := n.known[address]
+	if found == nil {
+		found = &neighbour{learned: now}
+		n.known[address] = found
+	}
+	return found
+}
+
+// Learn takes addresses at which a balancer may be.
+func (n *Neighbours) Learn(now time.Time, addresses []string) {
+	for _, a := range addresses {
+		if a != n.Self && a != "" {
+			n.at(now, a)
+		}
+	}
+}
+
+// Hear takes a message of a balancer. It returns false for one that was overtaken by a later one of the same process.
+func (n *Neighbours) Hear(now time.Time, address string, process, number uint64) bool {
+	if address == n.Self || address == "" {
+		return false
+	}
+	found := n.at(now, address)
+	if found.process == process && number <= found.number {
+		return false
+	}
+	found.process, found.number, found.heard = process, number, now
+	return true
+}
+
+// Describe takes what a balancer says of itself in a whole message.
+func (n *Neighbours) Describe(address, dataCentre string, version int64, stopping bool) {
+	if found := n.known[address]; found != nil {
+		found.dataCentre, found.version, found.stopping = dataCentre, version, stopping
+	}
+}
+
+// Live are the addresses of the balancers that are there, those of the own data centre alone if near is set, in order.
+func (n *Neighbours) Live(now time.Time, near bool) []string {
+	var found []string
+	for address, k := range n.known {
+		if n.live(now, k) && (!near || k.dataCentre == n.DataCentre) {
+			found = append(found, address)
+		}
+	}
+	slices.SortFunc(found, cmp.Compare[string])
+	return found
+}
+
+func (n *Neighbours) live(now time.Time, k *neighbour) bool {
+	return !k.heard.IsZero() && now.Sub(k.heard) < liveTime
+}
+
+// Silent returns the addresses that are due for another try to reach a balancer there, and forgets those that stay silent.
+func (n *Neighbours) Silent(now time.Time) []string {
+	var due []string
+	for address, k := range n.known {
+		if n.live(now, k) {
+			continue
+		}
+		if now.Sub(k.heard) > forgetTime && now.Sub(k.learned) > forgetTime {
+			delete(n.known, address)
+			continue
+		}
+		if now.Sub(k.sent) >= retryTime {
+			k.sent = now
+			due = append(due, address)
+		}
+	}
+	slices.SortFunc(due, cmp.Compare[string])
+	return due
+}
+
+// Newest is the greatest configuration version that a balancer which is there told of, and its address.
+func (n *Neighbours) Newest(now time.Time) (address string, version int64) {
+	for a, k := range n.known {
+		if n.live(now, k) && (k.version > version || (k.version == version && version > 0 && a < address)) {
+			address, version = a, k.version
+		}
+	}
+	return address, version
+}
+
+// Sharers is how many balancers share a budget, this one included.
+func (n *Neighbours) Sharers(now time.Time) int {
+	heard := 0
+	for _, k := range n.known {
+		if !k.heard.IsZero() && now.Sub(k.heard) < countedTime {
+			heard++
+		}
+	}
+	if heard == 0 {
+		return unknownBalancers
+	}
+	return heard + 1 + unheardBalancers
+}
--- a/core/cvselector/cvselector.go
+++ b/core/cvselector/cvselector.go
@@ -22,6 +22,8 @@
 	// loadLife is the time in which a report of other balancers' requests loses most of its worth: about the length of
 	// one request.
 	loadLife = 250 * time.Millisecond
+	// peerLife is how long a peer's count is believed without being heard again: three whole messages.
+	peerLife = 1500 * time.Millisecond
 	// initialWork is expected of a request before any was answered.
 	initialWork = 100 * time.Millisecond
 	// workGain is the weight of one more answer in the average work.
@@ -121,6 +123,18 @@
 	return count
 }
 
+// Busy is the share of the slots of the upstreams that take work which is taken, as far as known.
+func (s *Selector) Busy(now time.Time) float64 {
+	taken, slots := 0.0, 0
+	for _, m := range s.members {
+		if m.open(now) {
+			taken += min(s.load(now, m), float64(m.instance.Slots()))
+			slots += m.instance.Slots()
+		}
+	}
+	return taken / float64(max(slots, 1))
+}
+
 // Work is how long a request takes on average on a machine of usual speed.
 func (s *Selector) Work() time.Duration {
 	if s.work == 0 {
@@ -134,7 +148,7 @@
 
 // load is the number of requests expected in progress on an upstream, from all balancers.
 func (s *Selector) load(now time.Time, m *member) float64 {
-	return float64(len(m.begun)) + m.others*decay(now.Sub(m.reported), loadLife)
+	return float64(len(m.begun)+m.told(now)) + m.others*decay(now.Sub(m.reported), loadLife)
 }
 
 // expected is the time, in nanoseconds, that one more request is expected to take.
@@ -189,19 +203,78 @@
 	if m == nil {
 		return
 	}
-	m.reported = now
-	m.others = max(float64(load.Running()+load.Waiting()-ended-len(m.begun)), 0)
+	s.take(now, now, m, load.Running()+load.Waiting()-ended, load.Slowness())
 	if load.Slowness() <= 0 {
 		return
 	}
-	m.measured = now
-	m.slowness = load.Slowness()
 	if s.slowness == 0 {
 		s.slowness = load.Slowness()
 	}
 	s.slowness += slownessGain * (load.Slowness() - s.slowness)
 }
 
+// take takes in a report of a moment, unless a later one is known.
+func (s *Selector) take(now, reported time.Time, m *member, busy int, slowness float64) {
+	if reported.Before(m.reported) {
+		return
+	}
+	m.reported = reported
+	m.busy = max(busy, 0)
+	m.account(now)
+	if slowness > 0 {
+		m.measured = reported
+		m.slowness = slowness
+	}
+}
+
+// Hear takes a peer's own tries in flight on an upstream.
+func (s *Selector) Hear(now time.Time, peer uint64, id string, inFlight int) {
+	m := s.byID[id]
+	if m == nil {
+		return
+	}
+	if m.peers == nil {
+		m.peers = make(map[uint64]peerCount)
+	}
+	m.peers[peer] = peerCount{count: inFlight, at: now}
+}
+
+// HearReport takes a report of load that an upstream made to a peer some time ago.
+func (s *Selector) HearReport(now time.Time, id string, age time.Duration, busy int, slowness float64) {
+	if m := s.byID[id]; m != nil {
+		s.take(now, now.Add(-age), m, busy, slowness)
+	}
+}
+
+// Forget drops a peer's tries in flight on all upstreams but those that it has just told of.
+func (s *Selector) Forget(now time.Time, peer uint64) {
+	for _, m := range s.members {
+		if c, ok := m.peers[peer]; ok && c.at.Before(now) {
+			delete(m.peers, peer)
+		}
+	}
+}
+
+// Told is what a peer may want to know of an upstream: the own tries in flight, and the last report with its age.
+func (s *Selector) Told(now time.Time, id string) (inFlight int, age time.Duration, busy int, slowness float64, known bool) {
+	m := s.byID[id]
+	if m == nil {
+		return 0, 0, 0, 0, false
+	}
+	return len(m.begun), now.Sub(m.reported), m.busy, m.slowness, true
+}
+
+// Held are the ids of the upstreams with own tries in flight.
+func (s *Selector) Held() []string {
+	var found []string
+	for _, m := range s.members {
+		if len(m.begun) > 0 {
+			found = append(found, m.instance.ID())
+		}
+	}
+	return found
+}
+
 // Done ends a try that Pick began at a time.
 func (s *Selector) Done(now time.Time, id string, began time.Time, result comfreyvale.Result) {
 	m := s.byID[id]
@@ -216,8 +289,7 @@
 		s.failed(now, m)
 	case comfreyvale.ResultRefused:
 		// It is full: what it runs is not known, but it is no less than its slots.
-		m.reported = now
-		m.others = max(m.others, float64(m.instance.Slots()-len(m.begun)))
+		s.take(now, now, m, max(m.busy, m.instance.Slots()), 0)
 	}
 }
 
--- a/io/balancers/cvnode/cvnode.go
+++ b/io/balancers/cvnode/cvnode.go
@@ -24,6 +24,7 @@
 	"comfreyvale/core/cvterms"
 	"comfreyvale/io/callers/cvcaller"
 	"comfreyvale/io/operators/cvnodesettings"
+	"comfreyvale/io/peers/cvnews"
 	"comfreyvale/io/upstreams/cvpool"
 	"comfreyvale/io/upstreams/cvslots"
 )
@@ -71,10 +72,12 @@
 	stopping atomic.Bool
 	server   *cvcaller.Server
 	pool     *cvpool.Pool
+	news     *cvnews.News
 
 	mu     sync.Mutex
 	fleet  cvfleet.Fleet
 	groups map[string]*cvslots.Slots
+	places map[uint32]place
 	turns  map[string]map[string]float64
 }
 
@@ -94,7 +97,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, background := errgroup.WithContext(background)
-	for _, run := range []func(context.Context) error{n.watchRoutes, n.watchUpstreams, n.watchSettings, n.tick} {
+	for _, run := range []func(context.Context) error{n.watchRoutes, n.watchUpstreams, n.watchSettings, n.news.Run, n.tick} {
 		group.Go(func() error { return run(background) })
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headTime}
@@ -123,6 +126,7 @@
 	n.groups = make(map[string]*cvslots.Slots)
 	n.turns = make(map[string]map[string]float64)
 	n.pool = &cvpool.Pool{Signs: n.Signs, AnswerLimit: answerLimit, Opened: func(string) {}, Dropped: n.dropped}
+	n.news = n.newNews()
 	n.server = &cvcaller.Server{Handle: n.handle, Repeatable: n.repeatable, Limits: n.limits, Refused: n.refusedUnread}
 }
 
@@ -161,7 +165,7 @@
 	if s == nil {
 		terms := n.terms()
 		s = &cvslots.Slots{
-			DataCentre: n.Settings.DataCentre(), Balancers: n.balancers,
+			DataCentre: n.Settings.DataCentre(), Balancers: n.news.Sharers,
 			Budget: &cvbudget.Budget{Window: terms.RetryWindow(), Ratio: terms.RetryRatio() * retryShare, Slack: terms.RetrySlack() * retryShare},
 		}
 		n.groups[group] = s
--- a/io/balancers/cvnode/directories.go
+++ b/io/balancers/cvnode/directories.go
@@ -127,6 +127,7 @@
 	for group, instances := range byGroup {
 		n.slots(group).Update(now, instances)
 	}
+	n.index(byGroup)
 	n.Logger.WithFields(log.Fields{"upstreams": total, "lapsed": lapsed}).Info("upstreams changed")
 }
 
--- a/io/balancers/cvnode/request.go
+++ b/io/balancers/cvnode/request.go
@@ -11,9 +11,7 @@
 	"github.com/apex/log"
 
 	"comfreyvale"
-	"comfreyvale/core/cvfault"
 	"comfreyvale/core/cvmessage"
-	"comfreyvale/core/cvneed"
 	"comfreyvale/core/cvroute"
 	"comfreyvale/io/callers/cvheader"
 	"comfreyvale/io/upstreams/cvslots"
@@ -23,8 +21,6 @@
 	// retryShare is the part of the budget of further tries that is used: the rest covers tries that are counted in
 	// another window than here.
 	retryShare = 0.8
-	// assumedBalancers is how many balancers share the budget's slack while no others are known.
-	assumedBalancers = 12
 	// defaultTime is the time of a request whose caller and route name none.
 	defaultTime = 10 * time.Second
 	// answerTime is what is left of a request's time for its own answer to be sent.
@@ -52,8 +48,6 @@
 	reason   string
 }
 
-func (n *Node) balancers() int { return assumedBalancers }
-
 func path(target string) string {
 	p, _, _ := strings.Cut(target, "?")
 	return p
@@ -131,114 +125,12 @@
 	return best
 }
 
-// run tries upstreams until there is an answer, or none can be had.
-func (e *exchange) run(ctx context.Context) comfreyvale.Answer {
-	ctx, cancel := context.WithDeadline(ctx, e.deadline.Add(-answerTime))
-	defer cancel()
-	for {
-		need := cvneed.New(e.arrived.Add(e.route.Target()), e.deadline, e.route.Priority(), e.route.Large()).WithAvoid(e.tried)
-		waiter, err := e.slots.Acquire(ctx, need)
-		if err != nil {
-			return e.noSlot(ctx, err)
-		}
-		began := time.Now()
-		id := waiter.Instance().ID()
-		answer, err := e.node.pool.Exchange(ctx, waiter.Instance(), e.connections(), e.message, e.deadline, !e.route.Idempotent())
-		verdict := e.judge(ctx, answer, err)
-		e.slots.Release(waiter, verdict.result())
-		e.report(id, verdict, answer)
-		e.tried = append(e.tried, id)
-		if verdict == answered {
-			return answer
-		}
-		e.note(id, verdict, time.Since(began), answer, err)
-		if final, ok := e.again(verdict); !ok {
-			return final
-		}
-	}
-}
-
-func (e *exchange) connections() int {
-	t := e.node.routes.Load()
-	if g, ok := t.Group(e.group); ok && g.Connections() > 0 {
-		return max(g.Connections()/connectionShare, 1)
-	}
-	return connectionShare
-}
-
-// report hands the load that came with an answer to the decisions.
-func (e *exchange) report(id string, v verdict, answer comfreyvale.Answer) {
-	ended := 1
-	if v == refused {
-		ended = 0
-	}
-	if text := answer.Header().Get(e.node.Signs.Load); text != "" {
-		if load, ok := e.node.Signs.ParseLoad(text); ok {
-			e.slots.Report(time.Now(), id, load, ended)
-		}
-	}
-}
-
-// verdict is how one try ended.
-type verdict int
-
-const (
-	// answered is an answer for the caller.
-	answered verdict = iota
-	// failed is an upstream's own answer that it failed; the request has run.
-	failed
-	// refused is an upstream's statement that it did not run the request.
-	refused
-	// unsent is a try of which no byte left.
-	unsent
-	// broken is a try that may have run.
-	broken
-	// expired is a try that the deadline ended, or the caller.
-	expired
-)
-
-func (v verdict) result() comfreyvale.Result {
-	switch v {
-	case answered:
-		return comfreyvale.ResultAnswered
-	case refused:
-		return comfreyvale.ResultRefused
-	case expired:
-		return comfreyvale.ResultCancelled
-	}
-	return comfreyvale.ResultFailed
-}
-
-// judge says how a try ended.
-func (e *exchange) judge(ctx context.Context, answer comfreyvale.Answer, err error) verdict {
-	if err != nil {
-		switch {
-		case ctx.Err() != nil && cvfault.KindOf(err) == comfreyvale.KindTimeout:
-			e.ran = true
-			return expired
-		case cvfault.KindOf(err) == comfreyvale.KindUnavailable, cvfault.KindOf(err) == comfreyvale.KindExhausted:
-			return unsent
-		}
-		e.ran = true
-		return broken
-	}
-	if answer.Header().Get(e.node.Signs.NotRun) != "" || answer.Status() == http.StatusMisdirectedRequest {
-		return refused
-	}
-	e.ran = true
-	if answer.Status() >= http.StatusInternalServerError {
-		e.last = answer
-		return failed
-	}
-	return answered
-}
-
 // again says whether another upstream may be tried, and gives the final answer if not.
 func (e *exchange) again(v verdict) (comfreyvale.Answer, bool) {
 	if v == expired || (e.ran && !e.route.Idempotent()) {
 		return e.final(), false
 	}
-	if len(e.tried) >= e.route.Attempts() && e.ran {
+	if len(e.tried) >= maxTries || (len(e.tried) >= e.route.Attempts() && e.ran) {
 		return e.final(), false
 	}
 	if v != unsent && !e.slots.AllowFurther(time.Now()) {
@@ -266,7 +158,7 @@
 }
 
 // noSlot ends a request for which there is no slot.
-func (e *exchange) noSlot(ctx context.Context, err error) comfreyvale.Answer {
+func (e *exchange) noSlot(err error) comfreyvale.Answer {
 	e.reason = err.Error()
 	return e.final()
 }
@@ -284,23 +176,6 @@
 	return comfreyvale.NewAnswer(http.StatusServiceUnavailable, header, nil)
 }
 
-// note logs a try that brought no answer.
-func (e *exchange) note(id string, v verdict, took time.Duration, answer comfreyvale.Answer, err error) {
-	entry := e.node.Logger.WithFields(log.Fields{
-		"request": e.message.ID(), "route": e.route.Name(), "upstream": id, "try": len(e.tried),
-		"outcome": v.String(), "tookMs": took.Milliseconds(), "status": answer.Status(),
-	})
-	if err != nil {
-		entry = entry.WithError(err)
-	}
-	entry.Info("try failed")
-}
-
-// String names the verdict.
-func (v verdict) String() string {
-	return [...]string{"answered", "failed", "refused", "unsent", "broken", "expired"}[v]
-}
-
 // log writes the line of a request's end.
 func (e *exchange) log(version int64, answer comfreyvale.Answer) {
 	upstream := ""
--- /dev/null
+++ b/io/balancers/cvnode/tries.go
@@ -0,0 +1,225 @@
+package cvnode
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"comfreyvale"
+	"comfreyvale/core/cvfault"
+	"comfreyvale/core/cvneed"
+	"comfreyvale/core/cvwaiter"
+)
+
+const (
+	// hedgeQuantile is the share of recent tries of a route that were quicker than the time after which a second one is
+	// sent beside the first. A quarter of the machines are busy with neighbours at any moment.
+	hedgeQuantile = 0.75
+	// hedgeBusy is the share of taken slots from which none is spared for a second try beside the first.
+	hedgeBusy = 0.7
+	// maxTries bounds the tries of one request, those of which no byte left included.
+	maxTries = 8
+)
+
+// verdict is how one try ended.
+type verdict int
+
+const (
+	// answered is an answer for the caller.
+	answered verdict = iota
+	// failed is an upstream's own answer that it failed; the request has run.
+	failed
+	// refused is an upstream's statement that it did not run the request.
+	refused
+	// unsent is a try of which no byte left.
+	unsent
+	// broken is a try that may have run.
+	broken
+	// expired is a try that the deadline ended, or the caller.
+	expired
+)
+
+func (v verdict) result() comfreyvale.Result {
+	switch v {
+	case answered:
+		return comfreyvale.ResultAnswered
+	case refused:
+		return comfreyvale.ResultRefused
+	case expired:
+		return comfreyvale.ResultCancelled
+	}
+	return comfreyvale.ResultFailed
+}
+
+// judge says how a try ended.
+func (e *exchange) judge(ctx context.Context, answer comfreyvale.Answer, err error) verdict {
+	if err != nil {
+		switch {
+		case ctx.Err() != nil && cvfault.KindOf(err) == comfreyvale.KindTimeout:
+			return expired
+		case cvfault.KindOf(err) == comfreyvale.KindUnavailable, cvfault.KindOf(err) == comfreyvale.KindExhausted:
+			return unsent
+		}
+		return broken
+	}
+	if answer.Header().Get(e.node.Signs.NotRun) != "" || answer.Status() == http.StatusMisdirectedRequest {
+		return refused
+	}
+	if answer.Status() >= http.StatusInternalServerError {
+		return failed
+	}
+	return answered
+}
+
+// ran says whether the request may have run in a try that ended so.
+func (v verdict) ran() bool { return v != refused && v != unsent }
+
+// String names the verdict.
+func (v verdict) String() string {
+	return [...]string{"answered", "failed", "refused", "unsent", "broken", "expired"}[v]
+}
+
+// try is one sending of a request to one upstream.
+type try struct {
+	waiter  *cvwaiter.Waiter
+	began   time.Time
+	verdict verdict
+	answer  comfreyvale.Answer
+	err     error
+}
+
+// run tries upstreams until there is an answer, or none can be had. A request that may run more than once is sent to a
+// second one when the first takes long; what comes first counts.
+func (e *exchange) run(ctx context.Context) comfreyvale.Answer {
+	ctx, cancel := context.WithDeadline(ctx, e.deadline.Add(-answerTime))
+	defer cancel()
+	ended := make(chan *try, maxTries)
+	if err := e.send(ctx, ended); err != nil {
+		return e.noSlot(err)
+	}
+	hedge := e.hedgeTimer()
+	defer hedge.Stop()
+	for open := 1; ; {
+		select {
+		case <-hedge.C:
+			if e.hedge(ctx, ended) {
+				open++
+			}
+		case t := <-ended:
+			open--
+			if t.verdict == answered {
+				return t.answer
+			}
+			e.ran = e.ran || t.verdict.ran()
+			if t.verdict == failed {
+				e.last = t.answer
+			}
+			e.note(t)
+			if open > 0 {
+				continue
+			}
+			if final, ok := e.again(t.verdict); !ok {
+				return final
+			}
+			if err := e.send(ctx, ended); err != nil {
+				return e.noSlot(err)
+			}
+			open++
+		}
+	}
+}
+
+// need is what the request asks of its next upstream.
+func (e *exchange) need() cvneed.Need {
+	return cvneed.New(e.arrived.Add(e.route.Target()), e.deadline, e.route.Priority(), e.route.Large()).WithAvoid(e.tried)
+}
+
+// send waits for a slot and starts a try there.
+func (e *exchange) send(ctx context.Context, ended chan<- *try) error {
+	waiter, err := e.slots.Acquire(ctx, e.need())
+	if err != nil {
+		return err
+	}
+	e.start(ctx, waiter, ended)
+	return nil
+}
+
+// start runs a try in the background. Its slot is free again before its end is told.
+func (e *exchange) start(ctx context.Context, waiter *cvwaiter.Waiter, ended chan<- *try) {
+	e.tried = append(e.tried, waiter.Instance().ID())
+	go func() {
+		t := &try{waiter: waiter, began: time.Now()}
+		t.answer, t.err = e.node.pool.Exchange(ctx, waiter.Instance(), e.connections(), e.message, e.deadline, !e.route.Idempotent())
+		t.verdict = e.judge(ctx, t.answer, t.err)
+		e.slots.Release(waiter, t.verdict.result())
+		e.report(waiter.Instance().ID(), t.verdict, t.answer)
+		if t.verdict == answered || t.verdict == expired {
+			e.slots.Took(time.Now(), e.route.Name(), time.Since(t.began))
+		}
+		ended <- t
+	}()
+}
+
+// hedgeTimer fires when the first try takes longer than most, or never.
+func (e *exchange) hedgeTimer() *time.Timer {
+	after := time.Duration(-1)
+	if e.route.Idempotent() && e.route.Attempts() > 1 {
+		if usual, ok := e.slots.Usual(time.Now(), e.route.Name(), hedgeQuantile); ok {
+			after = usual
+		}
+	}
+	if after < 0 {
+		t := time.NewTimer(time.Hour)
+		t.Stop()
+		return t
+	}
+	return time.NewTimer(after)
+}
+
+// hedge sends the request to a second upstream beside the first, if a slot is free and the budget allows it.
+func (e *exchange) hedge(ctx context.Context, ended chan<- *try) bool {
+	if len(e.tried) >= e.route.Attempts() {
+		return false
+	}
+	waiter, ok := e.slots.Hedge(time.Now(), e.need(), hedgeBusy)
+	if !ok {
+		return false
+	}
+	e.start(ctx, waiter, ended)
+	return true
+}
+
+func (e *exchange) connections() int {
+	t := e.node.routes.Load()
+	if g, ok := t.Group(e.group); ok && g.Connections() > 0 {
+		return max(g.Connections()/connectionShare, 1)
+	}
+	return connectionShare
+}
+
+// report hands the load that came with an answer to the decisions.
+func (e *exchange) report(id string, v verdict, answer comfreyvale.Answer) {
+	ended := 1
+	if v == refused {
+		ended = 0
+	}
+	if text := answer.Header().Get(e.node.Signs.Load); text != "" {
+		if load, ok := e.node.Signs.ParseLoad(text); ok {
+			e.slots.Report(time.Now(), id, load, ended)
+		}
+	}
+}
+
+// note logs a try that brought no answer.
+func (e *exchange) note(t *try) {
+	entry := e.node.Logger.WithFields(log.Fields{
+		"request": e.message.ID(), "route": e.route.Name(), "upstream": t.waiter.Instance().ID(), "try": len(e.tried),
+		"outcome": t.verdict.String(), "tookMs": time.Since(t.began).Milliseconds(), "status": t.answer.Status(),
+	})
+	if t.err != nil {
+		entry = entry.WithError(t.err)
+	}
+	entry.Info("try failed")
+}
--- a/io/operators/cvnodesettings/cvnodesettings.go
+++ b/io/operators/cvnodesettings/cvnodesettings.go
@@ -2,6 +2,7 @@
 package cvnodesettings
 
 import (
+	"net"
 	"os"
 
 	"comfreyvale"
@@ -24,8 +25,9 @@
 	{Path: "listen", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address for callers."},
 	{Path: "ready", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address at which the platform asks whether this VM takes new connections."},
 	{Path: "peer", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address for the other balancers."},
+	{Path: "news", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address, over UDP, for the news of the other balancers; its port is the same on all VMs."},
 	{Path: "admin", Kind: cvfield.Text, Default: "", Pattern: `|` + addressPattern, Allowed: addressAllowed, Effect: "Address for metrics; without it there are none."},
-	{Path: "seeds", Kind: cvfield.Texts, Default: "", Pattern: addressPattern, Allowed: "a list of addresses", Effect: "Peer addresses of some other balancers, to meet the others through."},
+	{Path: "seeds", Kind: cvfield.Texts, Default: "", Pattern: addressPattern, Allowed: "a list of addresses", Effect: "Addresses of some other balancers, to meet the others through; their ports do not count."},
 	{Path: "directory", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address of the platform's log service, which holds routes and upstreams."},
 	{Path: "memory", Kind: cvfield.Count, Default: "512", Min: "32", Max: "1000000", Effect: "Memory of this VM in megabytes; bodies and answers in progress take a quarter at most."},
 	{Path: "terms.stop", Kind: cvfield.Duration, Default: "6s", Min: "1s", Max: "1h", Effect: "After the stop signal, when the platform kills the process."},
@@ -85,8 +87,20 @@
 // Admin is the address for metrics, or empty.
 func (s *Settings) Admin() string { return s.values.Text("admin") }
 
-// Seeds are peer addresses of some other balancers.
-func (s *Settings) Seeds() []string { return s.values.Texts("seeds") }
+// News is the address for the news of the other balancers.
+func (s *Settings) News() string { return s.values.Text("news") }
+
+// Seeds are the news addresses of some other balancers.
+func (s *Settings) Seeds() []string {
+	_, port, _ := net.SplitHostPort(s.News())
+	var found []string
+	for _, seed := range s.values.Texts("seeds") {
+		if ip, _, err := net.SplitHostPort(seed); err == nil {
+			found = append(found, net.JoinHostPort(ip, port))
+		}
+	}
+	return found
+}
 
 // Directory is the address of the platform's log service.
 func (s *Settings) Directory() string { return s.values.Text("directory") }
--- /dev/null
+++ b/io/peers/cvnews/cvnews.go
@@ -0,0 +1,231 @@
+// Package cvnews is the datagrams in which balancers tell each other what they do and have seen. A datagram replaces what
+// an earlier one said, so that a lost one costs nothing but its age; a connection would hold newer counts back behind older ones.
+package cvnews
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"comfreyvale"
+	"comfreyvale/core/cvfault"
+	"comfreyvale/core/cvneighbours"
+	"comfreyvale/core/cvwire"
+)
+
+const (
+	// nearInterval is the time between two messages of changes within the data centre: a tenth of a request's length.
+	nearInterval = 20 * time.Millisecond
+	// farInterval is the time between two messages of changes to other data centres, whose bytes are dear.
+	farInterval = 200 * time.Millisecond
+	// wholeInterval is the time between two whole messages; four may be lost before a balancer counts as gone.
+	wholeInterval = 500 * time.Millisecond
+	// toldPeers is how many addresses of others a whole message names.
+	toldPeers = 8
+	// maxDatagram is the size of the largest datagram that is read.
+	maxDatagram = 16 << 10
+)
+
+// fault is the error type of this package.
+type fault struct{ cvfault.Fault }
+
+// News tells and hears.
+type News struct {
+	// Address is where this balancer hears news.
+	Address string
+	// DataCentre is where this balancer runs.
+	DataCentre string
+	// Seeds are addresses of some other balancers.
+	Seeds func() []string
+	// Fill puts what this balancer has to tell into a message: everything, or what changed since the last message of its sort.
+	Fill func(now time.Time, message *cvwire.News, near, whole bool)
+	// Heard takes the message of another balancer.
+	Heard func(now time.Time, message *cvwire.News)
+	// Logger takes a line when a balancer comes or goes.
+	Logger log.Interface
+
+	mu         sync.Mutex
+	neighbours cvneighbours.Neighbours
+	process    uint64
+	number     uint64
+	lines      map[string]bool
+	conn       net.PacketConn
+}
+
+// Run tells and hears news until the context ends.
+func (n *News) Run(ctx context.Context) error {
+	conn, err := net.ListenPacket("udp4", n.Address)
+	if err != nil {
+		return fault{cvfault.New("listen", comfreyvale.KindUnavailable, err)}
+	}
+	n.conn = conn
+	n.mu.Lock()
+	n.process = rand.Uint64()
+	n.lines = make(map[string]bool)
+	n.neighbours = cvneighbours.Neighbours{Self: n.Address, DataCentre: n.DataCentre}
+	n.mu.Unlock()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(n.hear)
+	group.Go(func() error { return n.tell(ctx) })
+	group.Go(func() error {
+		<-ctx.Done()
+		conn.Close()
+		return nil
+	})
+	return group.Wait()
+}
+
+// Sharers is how many balancers share budgets, this one included.
+func (n *News) Sharers() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.neighbours.Sharers(time.Now())
+}
+
+// Newest is the greatest configuration version that another balancer told of, and its address.
+func (n *News) Newest() (address string, version int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.neighbours.Newest(time.Now())
+}
+
+// Live are the addresses of the balancers that are there.
+func (n *News) Live() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.neighbours.Live(time.Now(), false)
+}
+
+// tell sends what changed, and everything now and then.
+func (n *News) tell(ctx context.Context) error {
+	ticker := time.NewTicker(nearInterval)
+	defer ticker.Stop()
+	var far, whole time.Time
+	for {
+		select {
+		case now := <-ticker.C:
+			switch {
+			case now.Sub(whole) >= wholeInterval:
+				whole, far = now, now
+				n.tellWhole(now)
+			case now.Sub(far) >= farInterval:
+				far = now
+				n.tellChanges(now, false)
+			default:
+				n.tellChanges(now, true)
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (n *News) tellWhole(now time.Time) {
+	n.mu.Lock()
+	n.neighbours.Learn(now, n.Seeds())
+	live := n.neighbours.Live(now, false)
+	targets := append(n.neighbours.Silent(now), live...)
+	n.note(live)
+	n.mu.Unlock()
+	message := &cvwire.News{Address: n.Address, DataCentre: n.DataCentre, Whole: true}
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	message.Peers = live[:min(len(live), toldPeers)]
+	n.Fill(now, message, false, true)
+	n.send(targets, message)
+}
+
+// tellChanges tells the own data centre, or all, what changed.
+func (n *News) tellChanges(now time.Time, near bool) {
+	n.mu.Lock()
+	targets := n.neighbours.Live(now, near)
+	n.mu.Unlock()
+	if len(targets) == 0 {
+		return
+	}
+	message := &cvwire.News{}
+	n.Fill(now, message, near, false)
+	if len(message.GetUpstreams()) == 0 && len(message.GetSuspects()) == 0 {
+		return
+	}
+	n.send(targets, message)
+}
+
+// note logs balancers that came or went. The caller holds the lock.
+func (n *News) note(live []string) {
+	present := make(map[string]bool, len(live))
+	for _, a := range live {
+		present[a] = true
+		if !n.lines[a] {
+			n.Logger.WithField("peer", a).Info("peer heard")
+		}
+	}
+	for a := range n.lines {
+		if !present[a] {
+			n.Logger.WithField("peer", a).Warn("peer silent")
+		}
+	}
+	n.lines = present
+}
+
+// send sends a message to addresses; what is lost is replaced by the next one.
+func (n *News) send(targets []string, message *cvwire.News) {
+	n.mu.Lock()
+	n.number++
+	message.Process, message.Number = n.process, n.number
+	n.mu.Unlock()
+	content, err := proto.Marshal(message)
+	if err != nil {
+		n.Logger.WithError(err).Error("news cannot be encoded")
+		return
+	}
+	for _, t := range targets {
+		address, err := net.ResolveUDPAddr("udp4", t)
+		if err != nil {
+			n.Logger.WithField("peer", t).WithError(err).Warn("peer's address is invalid")
+			continue
+		}
+		// A datagram that cannot be sent counts as lost.
+		_, _ = n.conn.WriteTo(content, address)
+	}
+}
+
+// hear takes datagrams until the socket is closed.
+func (n *News) hear() error {
+	buffer := make([]byte, maxDatagram)
+	for {
+		size, from, err := n.conn.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			// An earlier datagram met a closed port; its sender's silence is noticed elsewhere.
+			continue
+		}
+		message := &cvwire.News{}
+		if err := proto.Unmarshal(buffer[:size], message); err != nil {
+			n.Logger.WithField("peer", from.String()).WithError(err).Warn("news cannot be read")
+			continue
+		}
+		n.take(time.Now(), from.String(), message)
+	}
+}
+
+func (n *News) take(now time.Time, from string, message *cvwire.News) {
+	n.mu.Lock()
+	fresh := n.neighbours.Hear(now, from, message.GetProcess(), message.GetNumber())
+	if fresh && message.GetWhole() {
+		n.neighbours.Describe(from, message.GetDataCentre(), message.GetVersion(), message.GetStopping())
+		n.neighbours.Learn(now, message.GetPeers())
+	}
+	n.mu.Unlock()
+	if fresh {
+		n.Heard(now, message)
+	}
+}
--- a/io/upstreams/cvslots/cvslots.go
+++ b/io/upstreams/cvslots/cvslots.go
@@ -16,10 +16,14 @@
 	"comfreyvale/core/cvinstance"
 	"comfreyvale/core/cvload"
 	"comfreyvale/core/cvneed"
+	"comfreyvale/core/cvquantile"
 	"comfreyvale/core/cvselector"
 	"comfreyvale/core/cvwaiter"
 )
 
+// hedgeSpent is the part of the budget that second tries beside a first one leave to tries after a failure.
+const hedgeSpent = 0.75
+
 // fault is the error type of this package.
 type fault struct{ cvfault.Fault }
 
@@ -38,7 +42,10 @@
 
 	mu        sync.Mutex
 	admission *cvadmission.Admission
+	took      map[string]*cvquantile.Quantile
 	ready     map[*cvwaiter.Waiter]chan struct{}
+	// near and far are the ids of upstreams whose figures the balancers of this data centre, or all, do not know yet.
+	near, far map[string]struct{}
 }
 
 // Update takes the group's upstreams.
@@ -53,6 +60,8 @@
 func (s *Slots) init() {
 	if s.admission == nil {
 		s.admission = &cvadmission.Admission{Selector: &cvselector.Selector{DataCentre: s.DataCentre}}
+		s.near, s.far = make(map[string]struct{}), make(map[string]struct{})
+		s.took = make(map[string]*cvquantile.Quantile)
 		s.ready = make(map[*cvwaiter.Waiter]chan struct{})
 	}
 }
@@ -86,6 +95,7 @@
 	}
 	switch s.admission.Enter(now, rand.Uint64(), waiter) {
 	case cvadmission.Granted:
+		s.changed(waiter.Instance().ID())
 		return nil, nil
 	case cvadmission.Refused:
 		return nil, fail("acquire", comfreyvale.KindExhausted, errors.Errorf("%d requests wait already, for another %s", s.admission.Len(), s.admission.Wait().Round(time.Millisecond)))
@@ -117,6 +127,7 @@
 		if !ok {
 			return
 		}
+		s.changed(w.Instance().ID())
 		s.wake(w)
 	}
 }
@@ -134,6 +145,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.admission.Selector.Done(now, waiter.Instance().ID(), waiter.Began(), result)
+	s.changed(waiter.Instance().ID())
 	s.admission.Freed(now)
 	s.advance(now)
 }
@@ -144,6 +156,7 @@
 	defer s.mu.Unlock()
 	s.init()
 	s.admission.Selector.Report(now, id, load, ended)
+	s.changed(id)
 }
 
 // Tick lets waiting requests go on that only the passing of time has freed.
@@ -169,6 +182,49 @@
 	return s.Budget.Allow(now, s.Balancers())
 }
 
+// Took takes in how long a try of a route took.
+func (s *Slots) Took(now time.Time, route string, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	q := s.took[route]
+	if q == nil {
+		q = cvquantile.New()
+		s.took[route] = q
+	}
+	q.Add(now, took)
+}
+
+// Usual is the time that a share of a route's recent tries stayed below, or false when too few were seen.
+func (s *Slots) Usual(now time.Time, route string, share float64) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	q := s.took[route]
+	if q == nil {
+		return 0, false
+	}
+	return q.At(now, share)
+}
+
+// Hedge takes a free slot for a second try beside a first one, unless others need it or the budget is spent.
+func (s *Slots) Hedge(now time.Time, need cvneed.Need, busy float64) (*cvwaiter.Waiter, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.admission.Len() > 0 || s.admission.Selector.Busy(now) > busy || s.Budget.Spent(now, s.Balancers()) > hedgeSpent {
+		return nil, false
+	}
+	waiter := cvwaiter.New(now, need)
+	instance, ok := s.admission.Selector.Pick(now, rand.Uint64(), need)
+	if !ok {
+		return nil, false
+	}
+	waiter.Grant(now, instance)
+	s.changed(instance.ID())
+	s.Budget.Allow(now, s.Balancers())
+	return waiter, true
+}
+
 // Wait is how long a request that enters now is expected to wait for a slot.
 func (s *Slots) Wait() time.Duration {
 	s.mu.Lock()
