--- a/core/cvselector/cvselector.go
+++ b/core/cvselector/cvselector.go
@@ -30,8 +30,11 @@
 	workGain = 0.05
 	// slownessGain is the weight of one more report in the average slowness.
 	slownessGain = 0.05
-	// lastSlotCost multiplies the time expected on an upstream whose last slot would be taken: many are slower when full.
-	lastSlotCost = 1.5
+	// usableShare is the share of an upstream's slots that are used. Most upstreams turn slow when they are nearly full, by
+	// more than what the last slots add.
+	usableShare = 0.8
+	// loadSlack is how far a load that is only estimated may be above a whole number.
+	loadSlack = 0.3
 	// warmUpCost multiplies the time expected on an upstream that has just started.
 	warmUpCost = 2
 	// remoteCost is the time that crossing data centres counts for: the way there and back, and its price.
@@ -97,7 +100,7 @@
 	var best *member
 	var bestTime float64
 	for n, m := range s.members {
-		if slices.Contains(need.Avoid(), m.instance.ID()) || !m.open(now) || s.load(now, m) >= float64(m.instance.Slots()) {
+		if slices.Contains(need.Avoid(), m.instance.ID()) || !m.open(now) || s.load(now, m)+1 > usable(m.instance) {
 			continue
 		}
 		expected := s.expected(now, m, need) * (1 + noiseShare*noise(draw, n))
@@ -143,6 +146,11 @@
 	return time.Duration(s.work)
 }
 
+// usable is how many requests an upstream is given at a time.
+func usable(instance *cvinstance.Instance) float64 {
+	return max(math.Floor(usableShare*float64(instance.Slots())), 1) + loadSlack
+}
+
 // meanSlowness is how many times as long as usual requests take on average.
 func (s *Selector) meanSlowness() float64 { return max(s.slowness, 1) }
 
@@ -154,9 +162,6 @@
 // expected is the time, in nanoseconds, that one more request is expected to take.
 func (s *Selector) expected(now time.Time, m *member, need cvneed.Need) float64 {
 	time := float64(s.Work()) * s.slownessOf(now, m)
-	if s.load(now, m)+1 > float64(m.instance.Slots())-0.5 {
-		time *= lastSlotCost
-	}
 	if now.Before(m.warmUntil) {
 		time *= warmUpCost
 	}
