Ask upstreams of the own data centre for reports where answers brought none lately

Change: health checks of upstreams whose last report is older than 150 ms, shared out among the balancers of a data centre, only while there are requests, within the deployment's bound on checks.

--- a/core/cvneighbours/cvneighbours.go
+++ b/core/cvneighbours/cvneighbours.go
@@ -5,6 +5,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -100,6 +102,20 @@
 	return !k.heard.IsZero() && now.Sub(k.heard) < liveTime
 }
 
+// Mine says whether, of the balancers of the own data centre, a task falls to this one.
+func (n *Neighbours) Mine(now time.Time, task string) bool {
+	own := weight(n.Self, task)
+	for address, k := range n.known {
+		if k.dataCentre == n.DataCentre && !k.stopping && n.live(now, k) && weight(address, task) > own {
+			return false
+		}
+	}
+	return true
+}
+
+// weight is the rank of a balancer for a task, by rendezvous hashing.
+func weight(address, task string) uint64 { return xxhash.Sum64String(address + "\x00" + task) }
+
 // Silent returns the addresses that are due for another try to reach a balancer there, and forgets those that stay silent.
 func (n *Neighbours) Silent(now time.Time) []string {
 	var due []string
--- a/core/cvselector/cvselector.go
+++ b/core/cvselector/cvselector.go
@@ -269,6 +269,24 @@
 	return len(m.begun), now.Sub(m.reported), m.busy, m.slowness, true
 }
 
+// Stale returns the upstreams of the own data centre that take work and whose last report is older than an age.
+func (s *Selector) Stale(now time.Time, age time.Duration) []*cvinstance.Instance {
+	var found []*cvinstance.Instance
+	for _, m := range s.members {
+		if m.instance.DataCentre() == s.DataCentre && !m.instance.Draining() && now.Sub(m.reported) > age && now.Sub(m.probed) > age {
+			found = append(found, m.instance)
+		}
+	}
+	return found
+}
+
+// Probing notes that an upstream is being asked for a report.
+func (s *Selector) Probing(now time.Time, id string) {
+	if m := s.byID[id]; m != nil {
+		m.probed = now
+	}
+}
+
 // Held are the ids of the upstreams with own tries in flight.
 func (s *Selector) Held() []string {
 	var found []string
--- a/core/cvselector/member.go
+++ b/core/cvselector/member.go
@@ -16,6 +16,8 @@
 	// busy is how many requests, of all balancers, were in progress when the upstream reported last.
 	busy     int
 	reported time.Time
+	// probed is when the upstream was asked for a report last.
+	probed time.Time
 	// others is how many of them neither this balancer nor a peer accounts for.
 	others float64
 	// slowness is the last report of the machine's speed, 0 before any.
--- a/io/balancers/cvnode/cvnode.go
+++ b/io/balancers/cvnode/cvnode.go
@@ -97,7 +97,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, background := errgroup.WithContext(background)
-	for _, run := range []func(context.Context) error{n.watchRoutes, n.watchUpstreams, n.watchSettings, n.news.Run, n.tick} {
+	for _, run := range []func(context.Context) error{n.watchRoutes, n.watchUpstreams, n.watchSettings, n.news.Run, n.probe, n.tick} {
 		group.Go(func() error { return run(background) })
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headTime}
--- a/io/peers/cvnews/cvnews.go
+++ b/io/peers/cvnews/cvnews.go
@@ -96,6 +96,13 @@
 	return n.neighbours.Newest(time.Now())
 }
 
+// Mine says whether, of the balancers of the own data centre, a task falls to this one.
+func (n *News) Mine(now time.Time, task string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.neighbours.Mine(now, task)
+}
+
 // Live are the addresses of the balancers that are there.
 func (n *News) Live() []string {
 	n.mu.Lock()
--- a/io/upstreams/cvpool/connection.go
+++ b/io/upstreams/cvpool/connection.go
@@ -173,7 +173,7 @@
 // matches says whether an answer is to the request. Only an upstream's statement that it did not run a request may lack the id.
 func (c *connection) matches(e *exchange, response *http.Response) bool {
 	id := response.Header.Get(c.pool.Signs.RequestID)
-	if id == "" {
+	if id == "" && e.message.ID() != "" {
 		return response.Header.Get(c.pool.Signs.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
 	}
 	return id == e.message.ID()
--- a/io/upstreams/cvslots/cvslots.go
+++ b/io/upstreams/cvslots/cvslots.go
@@ -44,6 +44,8 @@
 	admission *cvadmission.Admission
 	took      map[string]*cvquantile.Quantile
 	ready     map[*cvwaiter.Waiter]chan struct{}
+	// demanded is when a request for the group came last.
+	demanded time.Time
 	// near and far are the ids of upstreams whose figures the balancers of this data centre, or all, do not know yet.
 	near, far map[string]struct{}
 }
@@ -172,6 +174,7 @@
 func (s *Slots) Begin(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.demanded = now
 	s.Budget.Begin(now)
 }
 
