Bound how long a forgotten read goes unnoticed; grace only after outages that all balancers saw

Change: reads wait for 1.8 s; the directory is out of reach after two failures in a row; the grace follows only outages of 3 s or more that no other balancer was spared.

--- a/core/cvfleet/cvfleet.go
+++ b/core/cvfleet/cvfleet.go
@@ -13,6 +13,9 @@
 	// returnGrace is how long after the directory's return an entry that lapsed meanwhile may still come back.
 	// Upstreams that live report again within two seconds; the rest is the time for reading that.
 	returnGrace = 2500 * time.Millisecond
+	// lapseTime is how long the directory must be away before entries of living upstreams can lapse: they report every
+	// 1.5 seconds and lapse after three reports are missing.
+	lapseTime = 3 * time.Second
 	// removedLife is how long the last report of a removed instance is remembered, so that an older one that arrives
 	// late does not bring it back. Reports are late by seconds at most.
 	removedLife = 2 * time.Minute
@@ -23,7 +26,7 @@
 	present  map[string]*cvinstance.Instance
 	removed  map[string]removal
 	lapsed   map[string]bool
-	away     bool
+	away     time.Time
 	returned time.Time
 }
 
@@ -64,8 +67,8 @@
 	return true
 }
 
-// Remove takes the news that an entry is gone and returns whether that changed the set. Entries that lapse while the
-// directory is away, or just after, keep their instance until the grace is over.
+// Remove takes the news that an entry is gone and returns whether that changed the set. Entries that lapsed while the
+// directory was away keep their instance until the grace after its return is over.
 func (f *Fleet) Remove(now time.Time, id string) bool {
 	f.init()
 	if f.present[id] == nil {
@@ -80,7 +83,7 @@
 }
 
 func (f *Fleet) inGrace(now time.Time) bool {
-	return f.away || (!f.returned.IsZero() && now.Sub(f.returned) < returnGrace)
+	return !f.returned.IsZero() && now.Sub(f.returned) < returnGrace
 }
 
 func (f *Fleet) drop(now time.Time, id string) {
@@ -107,16 +110,24 @@
 }
 
 // Away says that the directory cannot be read.
-func (f *Fleet) Away() { f.away = true }
+func (f *Fleet) Away(now time.Time) {
+	if f.away.IsZero() {
+		f.away = now
+	}
+}
 
-// Returned says that the directory can be read again.
-func (f *Fleet) Returned(now time.Time) {
-	if f.away {
-		f.away = false
+// Returned says that the directory can be read again. Alone says that others could read it all the while: upstreams could
+// report, and what is gone has left.
+func (f *Fleet) Returned(now time.Time, alone bool) {
+	if !f.away.IsZero() && !alone && now.Sub(f.away) >= lapseTime {
 		f.returned = now
 	}
+	f.away = time.Time{}
 }
 
+// AwaySince is when the directory could not be read any more, or zero.
+func (f *Fleet) AwaySince() time.Time { return f.away }
+
 // Expire drops instances whose entry lapsed and did not come back in time, and returns whether there were any.
 func (f *Fleet) Expire(now time.Time) bool {
 	for id, r := range f.removed {
--- a/io/balancers/cvnode/cvnode.go
+++ b/io/balancers/cvnode/cvnode.go
@@ -74,11 +74,13 @@
 	pool     *cvpool.Pool
 	news     *cvnews.News
 
-	mu     sync.Mutex
-	fleet  cvfleet.Fleet
-	groups map[string]*cvslots.Slots
-	places map[uint32]place
-	turns  map[string]map[string]float64
+	mu    sync.Mutex
+	fleet cvfleet.Fleet
+	// othersReached is when another balancer said last that it can read the directory.
+	othersReached time.Time
+	groups        map[string]*cvslots.Slots
+	places        map[uint32]place
+	turns         map[string]map[string]float64
 }
 
 // Run serves until the context ends, then stops in order.
--- a/io/balancers/cvnode/directories.go
+++ b/io/balancers/cvnode/directories.go
@@ -55,11 +55,13 @@
 func (n *Node) upstreamsReached(now time.Time, ok bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if ok {
-		n.fleet.Returned(now)
+	if !ok {
+		n.fleet.Away(now)
 		return
 	}
-	n.fleet.Away()
+	if since := n.fleet.AwaySince(); !since.IsZero() {
+		n.fleet.Returned(now, n.othersReached.After(since))
+	}
 }
 
 func (n *Node) upstreamsChanged(now time.Time, whole bool, changes []comfreyvale.Change) {
--- a/io/balancers/cvnode/news.go
+++ b/io/balancers/cvnode/news.go
@@ -29,6 +29,9 @@
 			message.Version = t.Version()
 		}
 		message.Stopping = n.stopping.Load()
+		n.mu.Lock()
+		message.DirectoryAway = !n.fleet.AwaySince().IsZero()
+		n.mu.Unlock()
 	}
 	for _, s := range n.allSlots() {
 		s.Tell(now, message, near, whole)
@@ -44,6 +47,9 @@
 	}
 	n.mu.Lock()
 	places := n.places
+	if message.GetWhole() && !message.GetDirectoryAway() && message.GetVersion() > 0 {
+		n.othersReached = now
+	}
 	n.mu.Unlock()
 	for index, hash := range message.GetUpstreams() {
 		if p, ok := places[hash]; ok {
--- a/io/store/cvwatch/cvwatch.go
+++ b/io/store/cvwatch/cvwatch.go
@@ -14,8 +14,12 @@
 )
 
 const (
-	// followWait is how long a read waits for a record. Silent connections are found by the client, so it bounds nothing.
-	followWait = 20 * time.Second
+	// followWait is how long a read waits for a record. A read that the service has forgotten is noticed only when it is
+	// overdue, which must be within the three seconds after which everything is expected to work again.
+	followWait = 1800 * time.Millisecond
+	// lostFailures is how many readings in a row must fail before the directory counts as out of reach: one may be a
+	// read that the service forgot.
+	lostFailures = 2
 	// settleTime is the pause after a reading that brought records, in which further ones gather. A change must be in
 	// force two seconds after its acknowledgement; reading and applying take a tenth of that.
 	settleTime = 400 * time.Millisecond
@@ -31,13 +35,14 @@
 	Directory comfreyvale.Directory
 	// Changed takes records; whole says that keys which are not among them are gone.
 	Changed func(now time.Time, whole bool, changes []comfreyvale.Change)
-	// Reached is told after each reading whether it succeeded, and how long the directory was out of reach before.
+	// Reached is told after each reading that succeeded, and when the directory is out of reach.
 	Reached func(now time.Time, ok bool)
 	// Logger takes a line when the directory is lost and when it is back.
 	Logger log.Interface
 
 	next    int64
 	known   bool
+	failed  int
 	away    bool
 	since   time.Time
 	backoff time.Duration
@@ -66,7 +71,7 @@
 		return nil
 	}
 	wait := followWait
-	if w.away {
+	if w.failed > 0 {
 		// The first reading after an outage only has to show that the directory is back.
 		wait = 0
 	}
@@ -98,16 +103,20 @@
 			w.Logger.WithField("directory", w.Directory.String()).WithField("awayMs", now.Sub(w.since).Milliseconds()).Info("directory is back")
 		}
 		w.away = false
+		w.failed = 0
 		w.backoff = 0
 		if !w.known {
 			return 0
 		}
 		return settleTime
 	}
-	w.Reached(now, false)
-	if !w.away {
-		w.away = true
+	w.failed++
+	if w.failed == 1 {
 		w.since = now
+	}
+	if w.failed >= lostFailures && !w.away {
+		w.away = true
+		w.Reached(now, false)
 		w.Logger.WithField("directory", w.Directory.String()).WithError(err).Warn("directory is out of reach")
 	}
 	w.backoff = min(max(2*w.backoff, firstBackoff), lastBackoff)
