--- /dev/null
+++ b/core/cvbudget/cvbudget_test.go
@@ -0,0 +1,96 @@
+package cvbudget_test
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"comfreyvale/core/cvbudget"
+)
+
+// The seed is fixed, so that each run has the same verdict; rapid prints it with a failure.
+func init() {
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+}
+
+const (
+	window = 10 * time.Second
+	ratio  = 0.2
+	slack  = 60.0
+)
+
+// TestShared holds for any pattern of requests and tries over any number of balancers that know of each other: in no
+// window there are more further tries than the ratio and the slack allow.
+func TestShared(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 12).Draw(t, "balancers")
+		budgets := make([]*cvbudget.Budget, count)
+		for n := range budgets {
+			budgets[n] = &cvbudget.Budget{Window: window, Ratio: ratio, Slack: slack}
+		}
+		now := time.Unix(1000, int64(rapid.IntRange(0, 1e9).Draw(t, "phase")))
+		var requests, further []time.Time
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			b := budgets[rapid.IntRange(0, count-1).Draw(t, "balancer")]
+			for range rapid.IntRange(0, 20).Draw(t, "requests") {
+				b.Begin(now)
+				requests = append(requests, now)
+			}
+			for range rapid.IntRange(0, 40).Draw(t, "tries") {
+				if b.Allow(now, count) {
+					further = append(further, now)
+				}
+			}
+		}
+		for _, start := range further {
+			inside := func(times []time.Time) int {
+				total := 0
+				for _, at := range times {
+					if !at.Before(start) && at.Sub(start) < window {
+						total++
+					}
+				}
+				return total
+			}
+			before := 0
+			for _, at := range requests {
+				if at.Before(start) && start.Sub(at) <= window {
+					before++
+				}
+			}
+			most := max(inside(requests), before)
+			half := 0
+			for _, at := range requests {
+				if d := at.Sub(start); d >= -window/2 && d < window/2 {
+					half++
+				}
+			}
+			require.LessOrEqual(t, float64(inside(further)), ratio*float64(max(most, half))+slack)
+		}
+	})
+}
+
+// TestIsOfUse lets a balancer use nearly all of its share while requests come steadily.
+func TestIsOfUse(t *testing.T) {
+	b := &cvbudget.Budget{Window: window, Ratio: ratio, Slack: slack}
+	now := time.Unix(1000, 0)
+	const perSecond, seconds, balancers = 20, 60, 6
+	allowed := 0
+	for range seconds * perSecond {
+		now = now.Add(time.Second / perSecond)
+		b.Begin(now)
+		if b.Allow(now, balancers) {
+			allowed++
+		}
+	}
+	share := (ratio*perSecond*window.Seconds() + slack/balancers) * seconds / window.Seconds()
+	require.Greater(t, float64(allowed), 0.75*share)
+	require.Less(t, float64(allowed), share)
+	require.InDelta(t, 0, b.Spent(now.Add(4*window), balancers), 0.01)
+}
--- a/io/balancers/cvnode/request.go
+++ b/io/balancers/cvnode/request.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	// retryShare is the part of the budget of further tries that is used: the rest covers tries that are counted in
-	// another window than here.
-	retryShare = 0.8
+	// retryShare is the part of the budget of further tries that is used: the rest covers requests that are counted in
+	// another window where they are judged, as callers send them a little before they arrive.
+	retryShare = 0.9
 	// defaultTime is the time of a request whose caller and route name none.
 	defaultTime = 10 * time.Second
 	// answerTime is what is left of a request's time for its own answer to be sent.
--- a/io/upstreams/cvpool/cvpool.go
+++ b/io/upstreams/cvpool/cvpool.go
@@ -106,9 +106,9 @@
 		}
 		defer c.close()
 	}
-	if ep.open >= limit {
+	if open := ep.open; open >= limit {
 		p.mu.Unlock()
-		return nil, fail("connect", comfreyvale.KindExhausted, errors.Errorf("%d connections are open", ep.open))
+		return nil, fail("connect", comfreyvale.KindExhausted, errors.Errorf("%d connections are open", open))
 	}
 	ep.open++
 	p.mu.Unlock()
--- /dev/null
+++ b/io/upstreams/cvpool/cvpool_test.go
@@ -0,0 +1,190 @@
+package cvpool_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"comfreyvale"
+	"comfreyvale/core/cvfault"
+	"comfreyvale/core/cvinstance"
+	"comfreyvale/core/cvmessage"
+	"comfreyvale/core/cvsigns"
+	"comfreyvale/io/standins/cvfaulty"
+	"comfreyvale/io/upstreams/cvpool"
+)
+
+var signs = cvsigns.Signs{RequestID: "Test-Id", Deadline: "Test-Deadline", Instance: "Test-Instance", NotRun: "Test-Not-Run", Load: "Test-Load", Signature: "Test-Signature"}
+
+func newPool() *cvpool.Pool {
+	return &cvpool.Pool{Signs: signs, AnswerLimit: 1 << 20, Opened: func(string) {}, Dropped: func(string, string, string) {}}
+}
+
+func start(t *testing.T) (*cvfaulty.Upstream, *cvinstance.Instance) {
+	u := &cvfaulty.Upstream{ID: "one", Signs: signs}
+	address, err := u.Start()
+	require.NoError(t, err)
+	t.Cleanup(u.Stop)
+	return u, cvinstance.New("one", "g", address, "dc", 4)
+}
+
+func exchange(p *cvpool.Pool, to *cvinstance.Instance, id string, once bool) (comfreyvale.Answer, error) {
+	message := cvmessage.New(id, http.MethodPost, "/a%2Fb/../c?d=%20", "host.example", http.Header{"Test-Id": {id}}, []byte("body of "+id))
+	deadline := time.Now().Add(2 * time.Second)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	return p.Exchange(ctx, to, 8, message, deadline, once)
+}
+
+// TestAnswersBelongToTheirRequests spoils one answer in each way, and then asks on: nobody gets a wrong or partial answer,
+// and each request reaches the upstream once.
+func TestAnswersBelongToTheirRequests(t *testing.T) {
+	cases := map[string]struct {
+		mode string
+		// kind is what the spoiled exchange ends with, empty for a right answer.
+		kind comfreyvale.Kind
+	}{
+		"a second answer at once":       {cvfaulty.Twice, ""},
+		"the answer to the one before":  {cvfaulty.Late, ""},
+		"cut in the body":               {cvfaulty.Cut, comfreyvale.KindUncertain},
+		"no answer":                     {cvfaulty.Reset, comfreyvale.KindUncertain},
+		"bytes that are no answer":      {cvfaulty.Garbage, comfreyvale.KindUncertain},
+		"no length, ended in order":     {cvfaulty.Unframed, ""},
+		"another request's answer":      {cvfaulty.Stranger, comfreyvale.KindTimeout},
+		"before the body was read":      {cvfaulty.Early, ""},
+		"the connection ends behind it": {cvfaulty.Closes, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			u, to := start(t)
+			p := newPool()
+			defer p.Close()
+			_, err := exchange(p, to, "before", false)
+			require.NoError(t, err)
+			u.SetMode(c.mode, true)
+			answer, err := exchange(p, to, "spoiled", false)
+			if c.kind == "" {
+				require.NoError(t, err)
+				require.Equal(t, "answer to spoiled", string(answer.Body()))
+			} else {
+				require.Equal(t, c.kind, cvfault.KindOf(err))
+			}
+			for n := range 5 {
+				id := fmt.Sprint("after", n)
+				answer, err := exchange(p, to, id, false)
+				require.NoError(t, err)
+				require.Equal(t, "answer to "+id, string(answer.Body()))
+				require.Equal(t, 1, u.Ran(id))
+			}
+			require.Equal(t, 1, u.Ran("spoiled"))
+		})
+	}
+}
+
+// TestBytesArriveUnchanged sends method, target and body on byte for byte.
+func TestBytesArriveUnchanged(t *testing.T) {
+	u, to := start(t)
+	p := newPool()
+	defer p.Close()
+	_, err := exchange(p, to, "x", true)
+	require.NoError(t, err)
+	target, body := u.Got("x")
+	require.Equal(t, "/a%2Fb/../c?d=%20", target)
+	require.Equal(t, "body of x", body)
+}
+
+// TestConnectionsAreReused opens one connection for many exchanges, one after the other.
+func TestConnectionsAreReused(t *testing.T) {
+	u, to := start(t)
+	p := newPool()
+	defer p.Close()
+	for n := range 20 {
+		_, err := exchange(p, to, fmt.Sprint(n), true)
+		require.NoError(t, err)
+	}
+	require.Equal(t, 1, u.Opened())
+}
+
+// TestConnectionLimit refuses, without sending anything, what would open one connection too many.
+func TestConnectionLimit(t *testing.T) {
+	u, to := start(t)
+	u.SetMode(cvfaulty.Silent, false)
+	p := newPool()
+	defer p.Close()
+	var wait sync.WaitGroup
+	kinds := make(chan comfreyvale.Kind, 12)
+	for n := range 12 {
+		wait.Go(func() {
+			_, err := exchange(p, to, fmt.Sprint(n), true)
+			kinds <- cvfault.KindOf(err)
+		})
+	}
+	wait.Wait()
+	close(kinds)
+	refused := 0
+	for k := range kinds {
+		if k == comfreyvale.KindExhausted {
+			refused++
+			continue
+		}
+		require.Equal(t, comfreyvale.KindTimeout, k)
+	}
+	require.Equal(t, 4, refused)
+	require.Equal(t, 8, u.Total())
+}
+
+// TestNothingSent says so when no connection is had.
+func TestNothingSent(t *testing.T) {
+	u, to := start(t)
+	u.Stop()
+	_, err := exchange(newPool(), to, "x", true)
+	require.Equal(t, comfreyvale.KindUnavailable, cvfault.KindOf(err))
+}
+
+// TestCancelledExchangesEndTheirConnection lets the upstream drop the work, and leaves no connection to a later request.
+func TestCancelledExchangesEndTheirConnection(t *testing.T) {
+	u, to := start(t)
+	u.SetMode(cvfaulty.Silent, true)
+	p := newPool()
+	defer p.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	message := cvmessage.New("gone", http.MethodGet, "/", "h", http.Header{"Test-Id": {"gone"}}, nil)
+	_, err := p.Exchange(ctx, to, 8, message, time.Now().Add(time.Second), false)
+	require.Equal(t, comfreyvale.KindTimeout, cvfault.KindOf(err))
+	require.Zero(t, p.Open())
+	_, err = exchange(p, to, "next", true)
+	require.NoError(t, err)
+	require.Equal(t, 2, u.Opened())
+}
+
+// TestAnotherInstance does not run a request at an address that has changed hands.
+func TestAnotherInstance(t *testing.T) {
+	u, to := start(t)
+	other := cvinstance.New("two", "g", to.Address(), "dc", 4)
+	p := newPool()
+	defer p.Close()
+	answer, err := exchange(p, other, "x", true)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusMisdirectedRequest, answer.Status())
+	require.Zero(t, u.Total())
+}
+
+// TestNothingIsLeftBehind ends all goroutines with the pool.
+func TestNothingIsLeftBehind(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	u := &cvfaulty.Upstream{ID: "one", Signs: signs}
+	address, err := u.Start()
+	require.NoError(t, err)
+	p := newPool()
+	_, err = exchange(p, cvinstance.New("one", "g", address, "dc", 4), "x", true)
+	require.NoError(t, err)
+	p.Close()
+	u.Stop()
+}
