Hand configuration and upstreams on between balancers; a test of the whole path

Cause: a balancer that starts while the platform's log is out of reach had no routes; one that is turned away alone went on with old ones. Change: each balancer offers what it knows; one that cannot read, or hears of a newer version, asks another. Only one that can read the directory knows who is gone.

--- a/core/cvinstance/cvinstance.go
+++ b/core/cvinstance/cvinstance.go
@@ -58,6 +58,12 @@
 // WarmUp is how long after this report the upstream is still slow.
 func (i *Instance) WarmUp() time.Duration { return i.warmUp }
 
+// Born is the Unix millisecond of the upstream's start.
+func (i *Instance) Born() int64 { return i.born }
+
+// Sequence is the number of this report since the start.
+func (i *Instance) Sequence() int64 { return i.sequence }
+
 // Newer says whether this report is of a later start, or later in the same start, than another one.
 func (i *Instance) Newer(other *Instance) bool {
 	if i.born != other.born {
--- a/core/cvterms/cvterms.go
+++ b/core/cvterms/cvterms.go
@@ -9,6 +9,7 @@
 	apply        time.Duration
 	grace        time.Duration
 	stable       time.Duration
+	notice       time.Duration
 	retryRatio   float64
 	retryWindow  time.Duration
 	retrySlack   float64
@@ -18,7 +19,7 @@
 // New returns the terms that hold where a deployment says nothing.
 func New() Terms {
 	return Terms{
-		drain: 2 * time.Second, apply: 2 * time.Second, grace: 6 * time.Second, stable: 3 * time.Second,
+		drain: 2 * time.Second, apply: 2 * time.Second, grace: 6 * time.Second, stable: 3 * time.Second, notice: 2500 * time.Millisecond,
 		retryRatio: 0.1, retryWindow: 10 * time.Second, retrySlack: 10,
 	}
 }
@@ -30,6 +31,12 @@
 	return t
 }
 
+// WithNotice returns the terms with the time that the platform takes to send a stopping balancer no more connections.
+func (t Terms) WithNotice(notice time.Duration) Terms {
+	t.notice = notice
+	return t
+}
+
 // WithApply returns the terms with the time in which an acknowledged configuration is in force.
 func (t Terms) WithApply(apply time.Duration) Terms {
 	t.apply = apply
@@ -58,6 +65,9 @@
 // Grace is the time after which a stopped process is killed.
 func (t Terms) Grace() time.Duration { return t.grace }
 
+// Notice is how long after the stop signal new connections may still come.
+func (t Terms) Notice() time.Duration { return t.notice }
+
 // Stable is the time after which everything runs as usual behind a disruption.
 func (t Terms) Stable() time.Duration { return t.stable }
 
--- a/io/balancers/cvnode/cvnode.go
+++ b/io/balancers/cvnode/cvnode.go
@@ -25,6 +25,7 @@
 	"comfreyvale/io/callers/cvcaller"
 	"comfreyvale/io/operators/cvnodesettings"
 	"comfreyvale/io/peers/cvnews"
+	"comfreyvale/io/peers/cvrelay"
 	"comfreyvale/io/upstreams/cvpool"
 	"comfreyvale/io/upstreams/cvslots"
 )
@@ -73,9 +74,12 @@
 	server   *cvcaller.Server
 	pool     *cvpool.Pool
 	news     *cvnews.News
+	relays   *cvrelay.Relay
 
-	mu    sync.Mutex
-	fleet cvfleet.Fleet
+	mu sync.Mutex
+	// record is the configuration in force as it was read.
+	record []byte
+	fleet  cvfleet.Fleet
 	// othersReached is when another balancer said last that it can read the directory.
 	othersReached time.Time
 	groups        map[string]*cvslots.Slots
@@ -85,25 +89,23 @@
 
 // Run serves until the context ends, then stops in order.
 func (n *Node) Run(ctx context.Context) error {
-	callers, err := net.Listen("tcp", n.Settings.Listen())
+	listeners, err := listen(n.Settings.Listen(), n.Settings.Ready(), n.Settings.Peer())
 	if err != nil {
-		return fail("listen", comfreyvale.KindUnavailable, err)
-	}
-	checks, err := net.Listen("tcp", n.Settings.Ready())
-	if err != nil {
-		callers.Close()
-		return fail("listen", comfreyvale.KindUnavailable, err)
+		return err
 	}
+	callers, checks, peers := listeners[0], listeners[1], listeners[2]
 	n.build()
 	n.Logger.WithFields(log.Fields{"vm": n.Settings.VM(), "dataCentre": n.Settings.DataCentre(), "listen": n.Settings.Listen()}).Info("started")
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, background := errgroup.WithContext(background)
-	for _, run := range []func(context.Context) error{n.watchRoutes, n.watchUpstreams, n.watchSettings, n.news.Run, n.probe, n.tick} {
+	for _, run := range []func(context.Context) error{n.watchRoutes, n.watchUpstreams, n.watchSettings, n.news.Run, n.relay, n.probe, n.tick} {
 		group.Go(func() error { return run(background) })
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headTime}
 	group.Go(func() error { return ended(ready.Serve(checks)) })
+	relay := &http.Server{Handler: n.relays, ReadHeaderTimeout: headTime}
+	group.Go(func() error { return ended(relay.Serve(peers)) })
 	group.Go(func() error { return n.server.Serve(callers) })
 	select {
 	case <-ctx.Done():
@@ -111,10 +113,27 @@
 	}
 	n.stop(callers)
 	ready.Close()
+	relay.Close()
 	stop()
 	return group.Wait()
 }
 
+// listen opens all addresses or none.
+func listen(addresses ...string) ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, a := range addresses {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			for _, open := range listeners {
+				open.Close()
+			}
+			return nil, fail("listen", comfreyvale.KindUnavailable, err)
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
+
 // ended turns the ordinary end of a server into no error.
 func ended(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
@@ -129,6 +148,7 @@
 	n.turns = make(map[string]map[string]float64)
 	n.pool = &cvpool.Pool{Signs: n.Signs, AnswerLimit: answerLimit, Opened: func(string) {}, Dropped: n.dropped}
 	n.news = n.newNews()
+	n.relays = &cvrelay.Relay{Snapshot: n.snapshot}
 	n.server = &cvcaller.Server{Handle: n.handle, Repeatable: n.repeatable, Limits: n.limits, Refused: n.refusedUnread}
 }
 
--- /dev/null
+++ b/io/balancers/cvnode/cvnode_test.go
@@ -0,0 +1,249 @@
+package cvnode_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreyvale/io/standins/cvfaulty"
+	"comfreyvale/io/standins/cvmemdirectory"
+)
+
+func safe(group string) testRoute {
+	return testRoute{Prefix: "/safe/", Idempotent: true, Timeout: time.Second, Attempts: 2, Splits: map[string]float64{group: 1}}
+}
+
+func once(group string) testRoute {
+	return testRoute{Prefix: "/once/", Timeout: time.Second, Attempts: 2, Splits: map[string]float64{group: 1}}
+}
+
+// TestFailures plays one failure of an upstream, beside a good one, on each kind of route: what may run twice is tried
+// again, what may run once is not, and what is called not run was not.
+func TestFailures(t *testing.T) {
+	cases := map[string]struct {
+		mode       string
+		safe, once int
+		onceRan    int
+	}{
+		"whole":                 {mode: cvfaulty.Whole, safe: 200, once: 200, onceRan: 1},
+		"refuses":               {mode: cvfaulty.Refuses, safe: 200, once: 200, onceRan: 1},
+		"resets":                {mode: cvfaulty.Reset, safe: 200, once: 502, onceRan: 1},
+		"cuts":                  {mode: cvfaulty.Cut, safe: 200, once: 502, onceRan: 1},
+		"sends garbage":         {mode: cvfaulty.Garbage, safe: 200, once: 502, onceRan: 1},
+		"fails":                 {mode: cvfaulty.Fails, safe: 200, once: 500, onceRan: 1},
+		"is silent":             {mode: cvfaulty.Silent, safe: 504, once: 504, onceRan: 1},
+		"answers somebody else": {mode: cvfaulty.Stranger, safe: 504, once: 504, onceRan: 1},
+		"answers twice":         {mode: cvfaulty.Twice, safe: 200, once: 200, onceRan: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			bad, good := d.server("bad", "g"), d.server("good", "g")
+			d.publish(1, safe("g"), once("g"))
+			n := d.node()
+			n.awaitReady(t)
+			n.serves(t, "/safe/warm", http.StatusOK)
+			for kind, expected := range map[string]int{"safe": c.safe, "once": c.once} {
+				for tries := 0; bad.Ran(kind+strconv.Itoa(tries-1)) == 0 && tries < 40; tries++ {
+					bad.SetMode(c.mode, false)
+					id := kind + strconv.Itoa(tries)
+					before := bad.Total()
+					response, body := n.ask(t, http.MethodPost, "/"+kind+"/x", id, 3000)
+					bad.SetMode(cvfaulty.Whole, false)
+					require.LessOrEqual(t, bad.Ran(id)+good.Ran(id), 2)
+					if kind == "once" {
+						require.LessOrEqual(t, bad.Ran(id)+good.Ran(id), 1, "an order ran twice")
+					}
+					if response.StatusCode == http.StatusServiceUnavailable {
+						require.Zero(t, bad.Ran(id)+good.Ran(id), "said not to have run")
+					}
+					if response.StatusCode == http.StatusOK {
+						require.Equal(t, "answer to "+id, body)
+					}
+					if bad.Total() > before {
+						require.Equal(t, expected, response.StatusCode, "%s: %v", kind, n.lines.about(id))
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestNoConfiguration answers 503, and never 404, while no routes are known.
+func TestNoConfiguration(t *testing.T) {
+	d := newDeployment(t)
+	d.server("a", "g")
+	n := d.node()
+	require.Eventually(t, func() bool {
+		response, err := http.Get("http://" + n.ready + "/ready")
+		return err == nil && response.Body.Close() == nil
+	}, 30*time.Second, 5*time.Millisecond)
+	require.False(t, n.isReady())
+	response, _ := n.ask(t, http.MethodGet, "/safe/x", "1", 1000)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	d.publish(1, safe("g"))
+	n.awaitReady(t)
+	n.serves(t, "/safe/x", http.StatusOK)
+	response, _ = n.ask(t, http.MethodGet, "/else/x", "2", 1000)
+	require.Equal(t, http.StatusNotFound, response.StatusCode)
+}
+
+// TestConfigurationNeverGoesBack passes over older, equal and unreadable records, also when everything is read again.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	d := newDeployment(t)
+	d.server("a", "g")
+	d.publish(5, safe("g"))
+	n := d.node()
+	n.awaitReady(t)
+	d.publish(9, once("g"))
+	n.serves(t, "/once/x", http.StatusOK)
+	d.publish(7, safe("g"))
+	d.routes.LoseHistory()
+	d.routes.Put("routes", []byte("no configuration"))
+	d.routes.Put("other", []byte("{}"))
+	d.publish(10, once("g"), testRoute{Prefix: "/new/", Idempotent: true, Timeout: time.Second, Attempts: 1, Splits: map[string]float64{"g": 1}})
+	for seen := false; !seen; {
+		response, _ := n.ask(t, http.MethodGet, "/safe/x", "s", 1000)
+		require.Equal(t, http.StatusNotFound, response.StatusCode)
+		response, _ = n.ask(t, http.MethodGet, "/new/x", "n", 1000)
+		seen = response.StatusCode == http.StatusOK
+	}
+}
+
+// TestLeaving gives no new work to an upstream that drains or is gone, and none to an entry that cannot be read.
+func TestLeaving(t *testing.T) {
+	d := newDeployment(t)
+	a, b := d.server("a", "g"), d.server("b", "g")
+	d.upstreams.Put("broken", []byte("g"))
+	d.publish(1, safe("g"))
+	n := d.node()
+	n.awaitReady(t)
+	d.enter("a", "g", true, 2)
+	require.Eventually(t, func() bool {
+		before := a.Total()
+		for i := range 10 {
+			response, _ := n.ask(t, http.MethodGet, "/safe/x", fmt.Sprint("d", i), 1000)
+			require.Equal(t, http.StatusOK, response.StatusCode)
+		}
+		return a.Total() == before
+	}, 30*time.Second, time.Millisecond)
+	d.upstreams.Put("b", nil)
+	require.Eventually(t, func() bool {
+		response, _ := n.ask(t, http.MethodGet, "/safe/x", "none", 1000)
+		return response.StatusCode == http.StatusServiceUnavailable
+	}, 30*time.Second, time.Millisecond)
+	require.Positive(t, b.Total())
+}
+
+// TestTimeout gives the final answer at the route's timeout or the caller's, whichever comes first, and ends the work.
+func TestTimeout(t *testing.T) {
+	d := newDeployment(t)
+	u := d.server("a", "g")
+	d.publish(1, testRoute{Prefix: "/safe/", Idempotent: true, Timeout: 400 * time.Millisecond, Attempts: 2, Splits: map[string]float64{"g": 1}})
+	n := d.node()
+	n.awaitReady(t)
+	n.serves(t, "/safe/warm", http.StatusOK)
+	u.SetMode(cvfaulty.Silent, false)
+	for name, milliseconds := range map[string]int{"route": 5000, "caller": 200} {
+		began := time.Now()
+		response, _ := n.ask(t, http.MethodGet, "/safe/x", name, milliseconds)
+		require.Equal(t, http.StatusGatewayTimeout, response.StatusCode)
+		require.Less(t, time.Since(began), 5*time.Second, "the deadline of neither was kept")
+	}
+	require.Eventually(t, func() bool { return u.Open() == 0 }, 30*time.Second, time.Millisecond, "work goes on for nobody")
+}
+
+// TestWeights sends each group its share, also when one of them has no room.
+func TestWeights(t *testing.T) {
+	d := newDeployment(t)
+	a, b := d.server("a", "g"), d.server("b", "i")
+	d.publish(1, testRoute{Prefix: "/safe/", Idempotent: true, Timeout: time.Second, Attempts: 1, Splits: map[string]float64{"g": 3, "i": 1, "empty": 1}})
+	n := d.node()
+	n.awaitReady(t)
+	n.serves(t, "/safe/warm", http.StatusOK)
+	beforeA, beforeB, refused := a.Total(), b.Total(), 0
+	for i := range 100 {
+		response, _ := n.ask(t, http.MethodGet, "/safe/x", fmt.Sprint(i), 1000)
+		if response.StatusCode == http.StatusServiceUnavailable {
+			refused++
+		}
+	}
+	require.InDelta(t, 60, a.Total()-beforeA, 1)
+	require.InDelta(t, 20, b.Total()-beforeB, 1)
+	require.InDelta(t, 20, refused, 1)
+}
+
+// TestStop is not ready at once, answers what it has read, and ends in order.
+func TestStop(t *testing.T) {
+	d := newDeployment(t)
+	u := d.server("a", "g")
+	d.publish(1, safe("g"))
+	n := d.node()
+	n.awaitReady(t)
+	n.serves(t, "/safe/warm", http.StatusOK)
+	u.SetMode(cvfaulty.Whole, false)
+	n.stop()
+	require.Eventually(t, func() bool { return !n.isReady() }, 30*time.Second, time.Millisecond)
+	response, _ := n.ask(t, http.MethodGet, "/safe/x", "late", 1000)
+	require.Equal(t, http.StatusOK, response.StatusCode, "new connections are served until the platform has noticed")
+	require.True(t, response.Close)
+	err := <-n.done
+	n.done <- err
+	require.NoError(t, err)
+}
+
+// TestLinesOfARequest finds the lines of a request by its id.
+func TestLinesOfARequest(t *testing.T) {
+	d := newDeployment(t)
+	u := d.server("a", "g")
+	d.publish(1, safe("g"), once("g"))
+	n := d.node()
+	n.awaitReady(t)
+	n.serves(t, "/safe/warm", http.StatusOK)
+	cases := map[string]struct {
+		mode  string
+		lines []string
+	}{
+		"answered":  {cvfaulty.Whole, []string{"request"}},
+		"uncertain": {cvfaulty.Reset, []string{"try failed", "request"}},
+		"late":      {cvfaulty.Silent, []string{"try failed", "request"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			u.SetMode(c.mode, false)
+			n.ask(t, http.MethodPost, "/once/x", name, 500)
+			require.Equal(t, c.lines, n.lines.about(name))
+		})
+	}
+}
+
+// TestStartInAnOutage serves by what other balancers know when the directories cannot be read, and hears of changes and
+// leaving upstreams through those that can.
+func TestStartInAnOutage(t *testing.T) {
+	d := newDeployment(t)
+	a := d.server("a", "g")
+	d.server("b", "g")
+	d.publish(3, safe("g"))
+	d.node().awaitReady(t)
+	cutRoutes, cutUpstreams := cvmemdirectory.New(), cvmemdirectory.New()
+	cutRoutes.SetDown(true)
+	cutUpstreams.SetDown(true)
+	cut := d.nodeReading(cutRoutes, cutUpstreams)
+	cut.awaitReady(t)
+	cut.serves(t, "/safe/x", http.StatusOK)
+	d.publish(4, safe("g"), once("g"))
+	cut.serves(t, "/once/x", http.StatusOK)
+	d.enter("a", "g", true, 2)
+	require.Eventually(t, func() bool {
+		before := a.Total()
+		for i := range 10 {
+			cut.ask(t, http.MethodGet, "/safe/x", fmt.Sprint("l", i), 1000)
+		}
+		return a.Total() == before
+	}, 30*time.Second, time.Millisecond)
+}
--- a/io/balancers/cvnode/directories.go
+++ b/io/balancers/cvnode/directories.go
@@ -36,12 +36,15 @@
 		return
 	}
 	fields["version"] = table.Version()
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	old := n.routes.Load()
 	if old != nil && table.Version() <= old.Version() {
 		fields["inForce"] = old.Version()
 		n.Logger.WithFields(fields).Info("older configuration passed over")
 		return
 	}
+	n.record = change.Value()
 	n.routes.Store(table)
 	n.Logger.WithFields(fields).Info("configuration in force")
 }
--- /dev/null
+++ b/io/balancers/cvnode/harness_test.go
@@ -0,0 +1,241 @@
+package cvnode_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"comfreyvale"
+	"comfreyvale/core/cvgroup"
+	"comfreyvale/core/cvinstance"
+	"comfreyvale/core/cvlimits"
+	"comfreyvale/core/cvload"
+	"comfreyvale/core/cvroute"
+	"comfreyvale/core/cvroutes"
+	"comfreyvale/core/cvsigns"
+	"comfreyvale/core/cvsplit"
+	"comfreyvale/io/balancers/cvnode"
+	"comfreyvale/io/operators/cvnodesettings"
+	"comfreyvale/io/standins/cvfaulty"
+	"comfreyvale/io/standins/cvmemdirectory"
+)
+
+var signs = cvsigns.Signs{
+	RequestID: "Test-Id", Deadline: "Test-Deadline", Instance: "Test-Instance", NotRun: "Test-Not-Run", Load: "Test-Load", Signature: "Test-Signature",
+	ParseLoad: func(string) (cvload.Load, bool) { return cvload.New(1, 0, 4, 1), true },
+}
+
+// testRoutes is the configuration's format in these tests.
+type testRoutes struct {
+	Version int64
+	Routes  []testRoute
+}
+
+type testRoute struct {
+	Prefix     string
+	Idempotent bool
+	Timeout    time.Duration
+	Attempts   int
+	Splits     map[string]float64
+}
+
+func readRoutes(value []byte) (*cvroutes.Table, error) {
+	var c testRoutes
+	if err := json.Unmarshal(value, &c); err != nil {
+		return nil, err
+	}
+	var routes []*cvroute.Route
+	groups := map[string]cvgroup.Group{}
+	for _, r := range c.Routes {
+		var splits []cvsplit.Split
+		for group, weight := range r.Splits {
+			splits = append(splits, cvsplit.New(group, weight))
+			groups[group] = cvgroup.New(group, "/health", 64)
+		}
+		made := cvroute.New(r.Prefix, "h", r.Prefix, splits...).WithTimes(r.Timeout, r.Timeout).WithAttempts(r.Attempts)
+		if r.Idempotent {
+			made = made.WithIdempotent(false)
+		}
+		routes = append(routes, made)
+	}
+	var all []cvgroup.Group
+	for _, g := range groups {
+		all = append(all, g)
+	}
+	return cvroutes.New(c.Version, routes, all, cvlimits.Default()), nil
+}
+
+func readInstance(id string, value []byte) (*cvinstance.Instance, error) {
+	var born, sequence int64
+	var group, address string
+	var draining bool
+	if _, err := fmt.Sscan(string(value), &group, &address, &draining, &born, &sequence); err != nil {
+		return nil, errors.Wrap(err, "entry")
+	}
+	return cvinstance.New(id, group, address, "dc", 4).WithState(draining, 0).WithOrder(born, sequence), nil
+}
+
+// lines keeps log lines.
+type lines struct {
+	mu  sync.Mutex
+	all []*log.Entry
+}
+
+// HandleLog keeps a line.
+func (l *lines) HandleLog(entry *log.Entry) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all = append(l.all, entry)
+	return nil
+}
+
+// about returns the messages of the lines that bear a request's id.
+func (l *lines) about(id string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []string
+	for _, e := range l.all {
+		if e.Fields["request"] == id {
+			found = append(found, e.Message)
+		}
+	}
+	return found
+}
+
+// deployment is a few nodes and upstreams on loopback.
+type deployment struct {
+	t         *testing.T
+	routes    *cvmemdirectory.Directory
+	upstreams *cvmemdirectory.Directory
+	servers   map[string]*cvfaulty.Upstream
+	addresses map[string]string
+	nodes     []*running
+	ports     []int
+}
+
+// running is one node.
+type running struct {
+	address, ready string
+	lines          *lines
+	stop           context.CancelFunc
+	done           chan error
+}
+
+func newDeployment(t *testing.T) *deployment {
+	return &deployment{
+		t: t, routes: cvmemdirectory.New(), upstreams: cvmemdirectory.New(),
+		servers: make(map[string]*cvfaulty.Upstream), addresses: make(map[string]string),
+	}
+}
+
+// publish brings a version of routes out.
+func (d *deployment) publish(version int64, routes ...testRoute) {
+	value, err := json.Marshal(testRoutes{Version: version, Routes: routes})
+	require.NoError(d.t, err)
+	d.routes.Put("routes", value)
+}
+
+// server starts an upstream of a group and enters it.
+func (d *deployment) server(id, group string) *cvfaulty.Upstream {
+	u := &cvfaulty.Upstream{ID: id, Signs: signs}
+	address, err := u.Start()
+	require.NoError(d.t, err)
+	d.t.Cleanup(u.Stop)
+	d.servers[id], d.addresses[id] = u, address
+	d.enter(id, group, false, 1)
+	return u
+}
+
+func (d *deployment) enter(id, group string, draining bool, sequence int64) {
+	d.upstreams.Put(id, fmt.Appendf(nil, "%s %s %v 1 %d", group, d.addresses[id], draining, sequence))
+}
+
+// freePort returns a port that nobody listens at.
+func freePort(t *testing.T) int {
+	l, err := net.Listen("tcp", "0.0.0.0:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+// node starts a balancer that reads the deployment's directories.
+func (d *deployment) node() *running { return d.nodeReading(d.routes, d.upstreams) }
+
+// nodeReading starts a balancer that reads other directories. All have the same ports, at loopback addresses of their own.
+func (d *deployment) nodeReading(routes, upstreams comfreyvale.Directory) *running {
+	if d.ports == nil {
+		for range 4 {
+			d.ports = append(d.ports, freePort(d.t))
+		}
+	}
+	at := func(index, port int) string { return fmt.Sprintf("127.0.1.%d:%d", index+1, d.ports[port]) }
+	index := len(d.nodes)
+	r := &running{address: at(index, 0), ready: at(index, 1), lines: &lines{}, done: make(chan error, 1)}
+	text := fmt.Sprintf("vm: v%d\ndataCentre: dc\nlisten: %q\nready: %q\npeer: %q\nnews: %q\nseeds: [%q]\ndirectory: \"127.0.0.1:1\"\n"+
+		"terms:\n  stop: 6s\n  notice: 100ms\n  retryRatio: 0.2\n  retrySlack: 240\n", index, r.address, r.ready, at(index, 2), at(index, 3), at(0, 2))
+	settings, err := cvnodesettings.Parse("test", []byte(text))
+	require.NoError(d.t, err)
+	n := &cvnode.Node{
+		Settings: settings, Signs: signs, Configuration: routes, ConfigurationKey: "routes", ReadRoutes: readRoutes,
+		Upstreams: upstreams, ReadInstance: readInstance, Logger: &log.Logger{Handler: r.lines, Level: log.InfoLevel},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	go func() { r.done <- n.Run(ctx) }()
+	d.t.Cleanup(func() {
+		cancel()
+		require.NoError(d.t, <-r.done)
+	})
+	d.nodes = append(d.nodes, r)
+	return r
+}
+
+// isReady says what the node tells the platform.
+func (r *running) isReady() bool {
+	response, err := http.Get("http://" + r.ready + "/ready")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (r *running) awaitReady(t *testing.T) {
+	require.Eventually(t, r.isReady, 30*time.Second, 5*time.Millisecond)
+}
+
+// ask sends one request on a connection of its own.
+func (r *running) ask(t *testing.T, method, path, id string, milliseconds int) (*http.Response, string) {
+	conn, err := net.Dial("tcp", r.address)
+	require.NoError(t, err)
+	defer conn.Close()
+	fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: h\r\nTest-Id: %s\r\nTest-Deadline: %d\r\nContent-Length: 0\r\n\r\n", method, path, id, milliseconds)
+	conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return response, string(body)
+}
+
+// serves waits until a path is answered with a status.
+func (r *running) serves(t *testing.T, path string, status int) {
+	n := 0
+	require.Eventually(t, func() bool {
+		n++
+		response, _ := r.ask(t, http.MethodGet, path, fmt.Sprintf("probe-%s-%d", strings.Trim(path, "/"), n), 2000)
+		return response.StatusCode == status
+	}, 30*time.Second, 5*time.Millisecond)
+}
--- /dev/null
+++ b/io/balancers/cvnode/relay.go
@@ -0,0 +1,112 @@
+package cvnode
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/apex/log"
+
+	"comfreyvale"
+	"comfreyvale/core/cvinstance"
+	"comfreyvale/core/cvwire"
+	"comfreyvale/io/balancers/cvpause"
+)
+
+// relayTime is the time between two looks whether others know what this balancer cannot read: a third of the time in which
+// a configuration must be in force.
+const relayTime = 600 * time.Millisecond
+
+// snapshot is what this balancer knows of the directories.
+func (n *Node) snapshot(have int64) *cvwire.Snapshot {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := &cvwire.Snapshot{DirectoryAway: !n.fleet.AwaySince().IsZero()}
+	if t := n.routes.Load(); t != nil {
+		s.Version = t.Version()
+		if t.Version() > have {
+			s.Routes = n.record
+		}
+	}
+	for _, i := range n.fleet.Instances() {
+		s.Entries = append(s.Entries, &cvwire.Entry{
+			Id: i.ID(), Group: i.Group(), Address: i.Address(), DataCentre: i.DataCentre(), Slots: uint32(i.Slots()),
+			Draining: i.Draining(), WarmUpMs: uint32(i.WarmUp().Milliseconds()), Born: i.Born(), Sequence: i.Sequence(),
+		})
+	}
+	return s
+}
+
+// relay asks another balancer for what this one cannot read itself.
+func (n *Node) relay(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if address := n.helper(); address != "" {
+			n.fetch(ctx, address)
+		}
+		cvpause.For(ctx, relayTime)
+	}
+	return nil
+}
+
+// helper is the balancer to ask, or empty when the directories can be read or nobody knows more.
+func (n *Node) helper() string {
+	n.mu.Lock()
+	away, empty := !n.fleet.AwaySince().IsZero(), len(n.fleet.Instances()) == 0
+	n.mu.Unlock()
+	t := n.routes.Load()
+	address, version := n.news.Newest()
+	if address == "" || !(away || empty || t == nil || t.Version() < version) {
+		return ""
+	}
+	host, _, err := net.SplitHostPort(address)
+	_, port, ownErr := net.SplitHostPort(n.Settings.Peer())
+	if err != nil || ownErr != nil {
+		n.Logger.WithField("peer", address).Warn("peer's address is invalid")
+		return ""
+	}
+	return net.JoinHostPort(host, port)
+}
+
+// fetch takes over what another balancer knows.
+func (n *Node) fetch(ctx context.Context, address string) {
+	have := int64(0)
+	if t := n.routes.Load(); t != nil {
+		have = t.Version()
+	}
+	s, err := n.relays.Fetch(ctx, address, have)
+	if err != nil {
+		n.Logger.WithField("peer", address).WithError(err).Info("peer's snapshot cannot be had")
+		return
+	}
+	n.Logger.WithFields(log.Fields{"peer": address, "version": s.GetVersion(), "upstreams": len(s.GetEntries()), "away": s.GetDirectoryAway()}).Info("peer's snapshot taken")
+	if len(s.GetRoutes()) > 0 {
+		n.takeRoutes(comfreyvale.NewChange(n.ConfigurationKey, s.GetRoutes(), -1))
+	}
+	n.takeEntries(time.Now(), s)
+}
+
+// takeEntries takes over the instances that another balancer knows. Only one that can read the directory knows who is gone.
+func (n *Node) takeEntries(now time.Time, s *cvwire.Snapshot) {
+	n.mu.Lock()
+	if n.fleet.AwaySince().IsZero() && len(n.fleet.Instances()) > 0 {
+		n.mu.Unlock()
+		return
+	}
+	var found []*cvinstance.Instance
+	for _, e := range s.GetEntries() {
+		found = append(found, cvinstance.New(e.GetId(), e.GetGroup(), e.GetAddress(), e.GetDataCentre(), int(e.GetSlots())).
+			WithState(e.GetDraining(), time.Duration(e.GetWarmUpMs())*time.Millisecond).WithOrder(e.GetBorn(), e.GetSequence()))
+	}
+	changed := false
+	if s.GetDirectoryAway() {
+		for _, i := range found {
+			changed = n.fleet.Put(now, i) || changed
+		}
+	} else {
+		changed = n.fleet.Replace(now, found)
+	}
+	n.mu.Unlock()
+	if changed {
+		n.updateGroups(now)
+	}
+}
--- a/io/balancers/cvnode/stop.go
+++ b/io/balancers/cvnode/stop.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// noticeTime is how long the platform takes to send no more connections: two checks a second apart, and their way.
-	noticeTime = 2500 * time.Millisecond
 	// stopMargin is what is left of the grace for the end of the process.
 	stopMargin = 300 * time.Millisecond
 	// stopPoll is the time between two looks whether all requests are answered.
@@ -22,7 +20,7 @@
 	n.stopping.Store(true)
 	n.server.Stop()
 	n.Logger.WithFields(log.Fields{"inFlight": n.server.InFlight(), "connections": n.server.Open()}).Info("stopping")
-	time.Sleep(noticeTime)
+	time.Sleep(n.terms().Notice())
 	callers.Close()
 	limit := n.terms().Grace() - stopMargin
 	for time.Since(began) < limit {
--- a/io/operators/cvnodesettings/cvnodesettings.go
+++ b/io/operators/cvnodesettings/cvnodesettings.go
@@ -31,6 +31,7 @@
 	{Path: "directory", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address of the platform's log service, which holds routes and upstreams."},
 	{Path: "memory", Kind: cvfield.Count, Default: "512", Min: "32", Max: "1000000", Effect: "Memory of this VM in megabytes; bodies and answers in progress take a quarter at most."},
 	{Path: "terms.stop", Kind: cvfield.Duration, Default: "6s", Min: "1s", Max: "1h", Effect: "After the stop signal, when the platform kills the process."},
+	{Path: "terms.notice", Kind: cvfield.Duration, Default: "2500ms", Min: "0s", Max: "1m", Effect: "After the stop signal, how long new connections are still taken, until the platform has noticed: two checks a second apart, and their way."},
 	{Path: "terms.drain", Kind: cvfield.Duration, Default: "2s", Min: "100ms", Max: "1m", Effect: "Time in which a leaving upstream gets no new work any more."},
 	{Path: "terms.apply", Kind: cvfield.Duration, Default: "2s", Min: "100ms", Max: "1m", Effect: "Time in which an accepted configuration is in force."},
 	{Path: "terms.stable", Kind: cvfield.Duration, Default: "3s", Min: "100ms", Max: "1m", Effect: "Time after a disruption from which everything is expected to work as usual."},
@@ -112,6 +113,7 @@
 func (s *Settings) Terms() cvterms.Terms {
 	return cvterms.New().
 		WithStops(s.values.Duration("terms.drain"), s.values.Duration("terms.stop"), s.values.Duration("terms.stable")).
+		WithNotice(s.values.Duration("terms.notice")).
 		WithApply(s.values.Duration("terms.apply")).
 		WithRetries(s.values.Number("terms.retryRatio"), s.values.Duration("terms.retryWindow"), s.values.Number("terms.retrySlack")).
 		WithProbes(s.values.Number("terms.probesPerSecond"))
--- a/io/standins/cvfaulty/cvfaulty.go
+++ b/io/standins/cvfaulty/cvfaulty.go
@@ -32,7 +32,7 @@
 	Unframed = "unframed"
 	// Stranger answers with another request's id.
 	Stranger = "stranger"
-	// Silent runs the request and never answers.
+	// Silent runs the request and never answers, until the connection ends.
 	Silent = "silent"
 	// Refuses says that the request was not run.
 	Refuses = "refuses"
@@ -235,7 +235,9 @@
 	case Stranger:
 		io.WriteString(conn, u.whole("stranger", "answer to a stranger"))
 	case Silent:
-		time.Sleep(time.Hour)
+		// Nothing more is read as a request, but the end of the connection is noticed.
+		io.Copy(io.Discard, conn)
+		return false
 	case Fails:
 		io.WriteString(conn, strings.Replace(right, "200 OK", "500 Internal Server Error", 1))
 	case Closes:
