Rather wait for a quick slot than take a slow machine, and wait no longer than that helps

Change: a request waits as long as it can still be on time; it takes an upstream that is not expected to answer on time only when waiting cannot help any more; it is refused when no slot came by then, or is expected.

--- a/core/cvadmission/cvadmission.go
+++ b/core/cvadmission/cvadmission.go
@@ -3,8 +3,11 @@
 package cvadmission
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"comfreyvale/core/cvinstance"
 	"comfreyvale/core/cvselector"
 	"comfreyvale/core/cvwaiter"
 )
@@ -16,6 +19,11 @@
 	initialInterval = 20 * time.Millisecond
 	// longestInterval bounds an interval that idleness has stretched.
 	longestInterval = 250 * time.Millisecond
+	// patienceMargin is how long before its last start a request takes any slot, so that one which comes free is not
+	// missed between two looks.
+	patienceMargin = 30 * time.Millisecond
+	// lateWait is how long a request waits that cannot be on time any more, such as one that is tried again.
+	lateWait = 50 * time.Millisecond
 )
 
 // Admission holds the requests that wait for one group of upstreams. It is not safe for concurrent use.
@@ -41,13 +49,11 @@
 	Waiting
 )
 
-// Enter grants a slot, lets the request wait, or refuses it.
+// Enter grants a slot, lets the request wait, or refuses it. While there is time, a request rather waits than takes an
+// upstream that is not expected to answer on time.
 func (a *Admission) Enter(now time.Time, draw uint64, waiter *cvwaiter.Waiter) Verdict {
-	if len(a.waiting) == 0 {
-		if instance, ok := a.Selector.Pick(now, draw, waiter.Need()); ok {
-			waiter.Grant(now, instance)
-			return Granted
-		}
+	if len(a.waiting) == 0 && a.grant(now, draw, waiter) {
+		return Granted
 	}
 	if !a.feasible(now, waiter) {
 		return Refused
@@ -56,9 +62,33 @@
 	return Waiting
 }
 
-// feasible says whether a request that enters now can be expected to end before its deadline.
+// grant gives a request a slot if there is one for it.
+func (a *Admission) grant(now time.Time, draw uint64, waiter *cvwaiter.Waiter) bool {
+	var instance *cvinstance.Instance
+	if now.Before(a.Selector.LastStart(waiter.Need()).Add(-patienceMargin)) {
+		instance, _ = a.Selector.PickTimely(now, draw, waiter.Need())
+	} else {
+		instance, _ = a.Selector.Pick(now, draw, waiter.Need())
+	}
+	if instance == nil {
+		return false
+	}
+	waiter.Grant(now, instance)
+	return true
+}
+
+// feasible says whether a request that enters now can be expected to get a slot before it is hopeless.
 func (a *Admission) feasible(now time.Time, waiter *cvwaiter.Waiter) bool {
-	return !now.Add(a.Wait() + a.Selector.Work()).After(waiter.Need().Deadline())
+	return now.Add(a.Wait()).Before(a.lastWait(waiter))
+}
+
+// lastWait is until when a request waits: as long as it can be on time, or for a moment if it never could.
+func (a *Admission) lastWait(waiter *cvwaiter.Waiter) time.Time {
+	last := a.Selector.LastStart(waiter.Need())
+	if moment := waiter.Entered().Add(lateWait); last.Before(moment) {
+		last = moment
+	}
+	return last
 }
 
 // Wait is how long a request that enters now is expected to wait.
@@ -70,39 +100,24 @@
 	return time.Duration(len(a.waiting)+1) * interval
 }
 
-// Next grants a slot to the waiting request that needs it most, or returns false.
+// Next grants a slot to the waiting request that needs it most of those that can use one, or returns false.
 func (a *Admission) Next(now time.Time, draw uint64) (*cvwaiter.Waiter, bool) {
-	best := -1
+	slices.SortStableFunc(a.waiting, compare)
 	for n, w := range a.waiting {
-		if best < 0 || a.before(now, w, a.waiting[best]) {
-			best = n
+		if a.grant(now, draw, w) {
+			a.waiting = slices.Delete(a.waiting, n, n+1)
+			return w, true
 		}
 	}
-	if best < 0 {
-		return nil, false
-	}
-	w := a.waiting[best]
-	instance, ok := a.Selector.Pick(now, draw, w.Need())
-	if !ok {
-		return nil, false
-	}
-	w.Grant(now, instance)
-	a.waiting = append(a.waiting[:best], a.waiting[best+1:]...)
-	return w, true
+	return nil, false
 }
 
-// before says whether one request goes before another: those that can still be on time, then the more urgent, then the
-// one whose time ends first.
-func (a *Admission) before(now time.Time, one, other *cvwaiter.Waiter) bool {
-	soonest := now.Add(a.Selector.Work())
-	oneTimely, otherTimely := !soonest.After(one.Need().Target()), !soonest.After(other.Need().Target())
-	if oneTimely != otherTimely {
-		return oneTimely
-	}
-	if one.Need().Priority() != other.Need().Priority() {
-		return one.Need().Priority() < other.Need().Priority()
+// compare orders requests: the more urgent first, then the one whose time ends first.
+func compare(a, b *cvwaiter.Waiter) int {
+	if c := cmp.Compare(a.Need().Priority(), b.Need().Priority()); c != 0 {
+		return c
 	}
-	return one.Need().Target().Before(other.Need().Target())
+	return a.Need().Target().Compare(b.Need().Target())
 }
 
 // Freed notes that a slot came free.
@@ -128,16 +143,16 @@
 	return false
 }
 
-// Hopeless takes out and returns the requests that cannot end before their deadlines any more.
+// Hopeless takes out and returns the requests that have waited for as long as that could help them.
 func (a *Admission) Hopeless(now time.Time) []*cvwaiter.Waiter {
 	var found []*cvwaiter.Waiter
 	kept := a.waiting[:0]
 	for _, w := range a.waiting {
-		if now.Add(a.Selector.Work()).After(w.Need().Deadline()) {
-			found = append(found, w)
+		if now.Before(a.lastWait(w)) {
+			kept = append(kept, w)
 			continue
 		}
-		kept = append(kept, w)
+		found = append(found, w)
 	}
 	a.waiting = kept
 	return found
--- a/core/cvneed/cvneed.go
+++ b/core/cvneed/cvneed.go
@@ -9,6 +9,7 @@
 	priority int
 	target   time.Time
 	deadline time.Time
+	work     time.Duration
 	avoid    []string
 }
 
@@ -17,6 +18,15 @@
 	return Need{target: target, deadline: deadline, priority: priority, large: large}
 }
 
+// WithWork returns the need with the time that an upstream usually takes for such a request, 0 if it is not known.
+func (n Need) WithWork(work time.Duration) Need {
+	n.work = work
+	return n
+}
+
+// Work is the time that an upstream usually takes for such a request, 0 if it is not known.
+func (n Need) Work() time.Duration { return n.work }
+
 // WithAvoid returns the need with the upstreams that the request must not be sent to.
 func (n Need) WithAvoid(avoid []string) Need {
 	n.avoid = avoid
--- a/core/cvselector/cvselector.go
+++ b/core/cvselector/cvselector.go
@@ -97,6 +97,30 @@
 
 // Pick chooses an upstream with a free slot and counts the try as begun. The draw is a uniform random number.
 func (s *Selector) Pick(now time.Time, draw uint64, need cvneed.Need) (*cvinstance.Instance, bool) {
+	best, _ := s.best(now, draw, need)
+	if best == nil {
+		return nil, false
+	}
+	best.begin(now)
+	return best.instance, true
+}
+
+// PickTimely is Pick for a request that rather waits than takes an upstream which is not expected to answer on time. Free
+// says that there was a slot, timely or not.
+func (s *Selector) PickTimely(now time.Time, draw uint64, need cvneed.Need) (instance *cvinstance.Instance, free bool) {
+	best, expected := s.best(now, draw, need)
+	if best == nil {
+		return nil, false
+	}
+	if now.Add(expected).After(need.Target()) {
+		return nil, true
+	}
+	best.begin(now)
+	return best.instance, true
+}
+
+// best returns the upstream with a free slot that is expected to answer soonest, and the time it is expected to take.
+func (s *Selector) best(now time.Time, draw uint64, need cvneed.Need) (*member, time.Duration) {
 	var best *member
 	var bestTime float64
 	for n, m := range s.members {
@@ -108,11 +132,7 @@
 			best, bestTime = m, expected
 		}
 	}
-	if best == nil {
-		return nil, false
-	}
-	best.begin(now)
-	return best.instance, true
+	return best, time.Duration(bestTime)
 }
 
 // Present is the number of upstreams that take work.
@@ -151,6 +171,17 @@
 	return max(math.Floor(usableShare*float64(instance.Slots())), 1) + loadSlack
 }
 
+// workOf is how long a request takes on a machine of usual speed.
+func (s *Selector) workOf(need cvneed.Need) time.Duration {
+	if need.Work() > 0 {
+		return need.Work()
+	}
+	return s.Work()
+}
+
+// LastStart is until when a request can get its slot and still be answered on time by a machine of usual speed.
+func (s *Selector) LastStart(need cvneed.Need) time.Time { return need.Target().Add(-s.workOf(need)) }
+
 // meanSlowness is how many times as long as usual requests take on average.
 func (s *Selector) meanSlowness() float64 { return max(s.slowness, 1) }
 
@@ -161,7 +192,7 @@
 
 // expected is the time, in nanoseconds, that one more request is expected to take.
 func (s *Selector) expected(now time.Time, m *member, need cvneed.Need) float64 {
-	time := float64(s.Work()) * s.slownessOf(now, m)
+	time := float64(s.workOf(need)) * s.slownessOf(now, m)
 	if now.Before(m.warmUntil) {
 		time *= warmUpCost
 	}
--- a/io/balancers/cvnode/tries.go
+++ b/io/balancers/cvnode/tries.go
@@ -19,6 +19,8 @@
 	hedgeQuantile = 0.75
 	// hedgeBusy is the share of taken slots from which none is spared for a second try beside the first.
 	hedgeBusy = 0.7
+	// workQuantile is the share of recent tries of a route that were quicker than the work expected of the next.
+	workQuantile = 0.5
 	// maxTries bounds the tries of one request, those of which no byte left included.
 	maxTries = 8
 )
@@ -133,7 +135,9 @@
 
 // need is what the request asks of its next upstream.
 func (e *exchange) need() cvneed.Need {
-	return cvneed.New(e.arrived.Add(e.route.Target()), e.deadline, e.route.Priority(), e.route.Large()).WithAvoid(e.tried)
+	// Half of the tries are quicker than this, which is little above the work on a machine of usual speed.
+	work, _ := e.slots.Usual(time.Now(), e.route.Name(), workQuantile)
+	return cvneed.New(e.arrived.Add(e.route.Target()), e.deadline, e.route.Priority(), e.route.Large()).WithWork(work).WithAvoid(e.tried)
 }
 
 // send waits for a slot and starts a try there.
--- a/io/upstreams/cvslots/cvslots.go
+++ b/io/upstreams/cvslots/cvslots.go
@@ -121,17 +121,17 @@
 
 // advance grants free slots and ends hopeless waits. The caller holds the lock.
 func (s *Slots) advance(now time.Time) {
-	for _, w := range s.admission.Hopeless(now) {
-		s.wake(w)
-	}
 	for s.admission.Len() > 0 {
 		w, ok := s.admission.Next(now, rand.Uint64())
 		if !ok {
-			return
+			break
 		}
 		s.changed(w.Instance().ID())
 		s.wake(w)
 	}
+	for _, w := range s.admission.Hopeless(now) {
+		s.wake(w)
+	}
 }
 
 func (s *Slots) wake(w *cvwaiter.Waiter) {
