Two watchers read the platform's log with short waits, the others wait long

Change: news tell how far each has read; only the first two by a hash read with short waits, and a read that has missed something, or whose balancer becomes a watcher, is ended and made again.

--- a/core/cvneighbours/cvneighbours.go
+++ b/core/cvneighbours/cvneighbours.go
@@ -40,6 +40,9 @@
 	dataCentre string
 	version    int64
 	stopping   bool
+	readAt     time.Time
+	routes     int64
+	upstreams  int64
 	heard      time.Time
 	learned    time.Time
 	sent       time.Time
@@ -113,6 +116,36 @@
 	return true
 }
 
+// Among says whether a task falls to this balancer when so many of all balancers have it.
+func (n *Neighbours) Among(now time.Time, task string, count int) bool {
+	own, before := weight(n.Self, task), 0
+	for address, k := range n.known {
+		if !k.stopping && n.live(now, k) && weight(address, task) > own {
+			before++
+		}
+	}
+	return before < count
+}
+
+// Read takes when a balancer read the platform's directories last, and how far.
+func (n *Neighbours) Read(address string, at time.Time, routes, upstreams int64) {
+	if found := n.known[address]; found != nil {
+		found.readAt, found.routes, found.upstreams = at, routes, upstreams
+	}
+}
+
+// Watched says whether a balancer that is there has read the directories within a time, and how far the furthest has read.
+func (n *Neighbours) Watched(now time.Time, within time.Duration) (routes, upstreams int64, watched bool) {
+	for _, k := range n.known {
+		if !n.live(now, k) {
+			continue
+		}
+		routes, upstreams = max(routes, k.routes), max(upstreams, k.upstreams)
+		watched = watched || (!k.stopping && now.Sub(k.readAt) < within)
+	}
+	return routes, upstreams, watched
+}
+
 // weight is the rank of a balancer for a task, by rendezvous hashing.
 func weight(address, task string) uint64 { return xxhash.Sum64String(address + "\x00" + task) }
 
--- a/io/balancers/cvnode/cvnode.go
+++ b/io/balancers/cvnode/cvnode.go
@@ -26,6 +26,7 @@
 	"comfreyvale/io/operators/cvnodesettings"
 	"comfreyvale/io/peers/cvnews"
 	"comfreyvale/io/peers/cvrelay"
+	"comfreyvale/io/store/cvwatch"
 	"comfreyvale/io/upstreams/cvpool"
 	"comfreyvale/io/upstreams/cvslots"
 )
@@ -75,11 +76,15 @@
 	pool     *cvpool.Pool
 	news     *cvnews.News
 	relays   *cvrelay.Relay
+	// routesWatch and upstreamsWatch follow the directories.
+	routesWatch, upstreamsWatch *cvwatch.Watch
 
 	mu sync.Mutex
 	// record is the configuration in force as it was read.
 	record []byte
-	fleet  cvfleet.Fleet
+	// routesRead and upstreamsRead are when the directories were read last.
+	routesRead, upstreamsRead time.Time
+	fleet                     cvfleet.Fleet
 	// othersReached is when another balancer said last that it can read the directory.
 	othersReached time.Time
 	groups        map[string]*cvslots.Slots
@@ -99,7 +104,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, background := errgroup.WithContext(background)
-	for _, run := range []func(context.Context) error{n.watchRoutes, n.watchUpstreams, n.watchSettings, n.news.Run, n.relay, n.probe, n.tick} {
+	for _, run := range []func(context.Context) error{n.routesWatch.Run, n.upstreamsWatch.Run, n.supervise, n.watchSettings, n.news.Run, n.relay, n.probe, n.tick} {
 		group.Go(func() error { return run(background) })
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headTime}
@@ -148,6 +153,7 @@
 	n.turns = make(map[string]map[string]float64)
 	n.pool = &cvpool.Pool{Signs: n.Signs, AnswerLimit: answerLimit, Opened: func(string) {}, Dropped: n.dropped}
 	n.news = n.newNews()
+	n.routesWatch, n.upstreamsWatch = n.newWatches()
 	n.relays = &cvrelay.Relay{Snapshot: n.snapshot}
 	n.server = &cvcaller.Server{Handle: n.handle, Repeatable: n.repeatable, Limits: n.limits, Refused: n.refusedUnread}
 }
--- a/io/balancers/cvnode/directories.go
+++ b/io/balancers/cvnode/directories.go
@@ -1,7 +1,6 @@
 package cvnode
 
 import (
-	"context"
 	"time"
 
 	"github.com/apex/log"
@@ -11,20 +10,27 @@
 	"comfreyvale/io/store/cvwatch"
 )
 
-// watchRoutes brings the newest configuration into force.
-func (n *Node) watchRoutes(ctx context.Context) error {
-	w := &cvwatch.Watch{
-		Directory: n.Configuration, Logger: n.Logger,
-		Reached: func(time.Time, bool) {},
-		Changed: func(_ time.Time, _ bool, changes []comfreyvale.Change) {
-			for _, c := range changes {
-				if c.Key() == n.ConfigurationKey && len(c.Value()) > 0 {
-					n.takeRoutes(c)
-				}
-			}
-		},
-	}
-	return w.Run(ctx)
+// newWatches returns what follows the two directories.
+func (n *Node) newWatches() (routes, upstreams *cvwatch.Watch) {
+	routes = &cvwatch.Watch{Directory: n.Configuration, Logger: n.Logger, Wait: n.wait, Reached: n.routesReached, Changed: n.routesChanged}
+	upstreams = &cvwatch.Watch{Directory: n.Upstreams, Logger: n.Logger, Wait: n.wait, Reached: n.upstreamsReached, Changed: n.upstreamsChanged}
+	return routes, upstreams
+}
+
+func (n *Node) routesReached(now time.Time, ok bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if ok {
+		n.routesRead = now
+	}
+}
+
+func (n *Node) routesChanged(_ time.Time, _ bool, changes []comfreyvale.Change) {
+	for _, c := range changes {
+		if c.Key() == n.ConfigurationKey && len(c.Value()) > 0 {
+			n.takeRoutes(c)
+		}
+	}
 }
 
 // takeRoutes takes a configuration that is newer than the one in force.
@@ -49,12 +55,6 @@
 	n.Logger.WithFields(fields).Info("configuration in force")
 }
 
-// watchUpstreams follows the upstream instances.
-func (n *Node) watchUpstreams(ctx context.Context) error {
-	w := &cvwatch.Watch{Directory: n.Upstreams, Logger: n.Logger, Reached: n.upstreamsReached, Changed: n.upstreamsChanged}
-	return w.Run(ctx)
-}
-
 func (n *Node) upstreamsReached(now time.Time, ok bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -62,6 +62,7 @@
 		n.fleet.Away(now)
 		return
 	}
+	n.upstreamsRead = now
 	if since := n.fleet.AwaySince(); !since.IsZero() {
 		n.fleet.Returned(now, n.othersReached.After(since))
 	}
--- a/io/balancers/cvnode/news.go
+++ b/io/balancers/cvnode/news.go
@@ -29,6 +29,7 @@
 			message.Version = t.Version()
 		}
 		message.Stopping = n.stopping.Load()
+		n.tellReading(now, message)
 		n.mu.Lock()
 		message.DirectoryAway = !n.fleet.AwaySince().IsZero()
 		n.mu.Unlock()
--- a/io/peers/cvnews/cvnews.go
+++ b/io/peers/cvnews/cvnews.go
@@ -103,6 +103,20 @@
 	return n.neighbours.Mine(now, task)
 }
 
+// Among says whether a task falls to this balancer when so many of all balancers have it.
+func (n *News) Among(now time.Time, task string, count int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.neighbours.Among(now, task, count)
+}
+
+// Watched says whether another balancer has read the directories within a time, and how far the furthest has read.
+func (n *News) Watched(now time.Time, within time.Duration) (routes, upstreams int64, watched bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.neighbours.Watched(now, within)
+}
+
 // Live are the addresses of the balancers that are there.
 func (n *News) Live() []string {
 	n.mu.Lock()
@@ -229,6 +243,7 @@
 	fresh := n.neighbours.Hear(now, from, message.GetProcess(), message.GetNumber())
 	if fresh && message.GetWhole() {
 		n.neighbours.Describe(from, message.GetDataCentre(), message.GetVersion(), message.GetStopping())
+		n.neighbours.Read(from, now.Add(-time.Duration(message.GetReadAgeMs())*time.Millisecond), message.GetRoutesNext(), message.GetUpstreamsNext())
 		n.neighbours.Learn(now, message.GetPeers())
 	}
 	n.mu.Unlock()
