Tell other data centres every 100 ms; large answers cross for 300 ms

Cause: small groups (1 to 3 upstreams in a data centre) are often slow altogether, and what others in the region report was 200 ms old.

--- a/core/cvselector/cvselector.go
+++ b/core/cvselector/cvselector.go
@@ -40,7 +40,7 @@
 	// remoteCost is the time that crossing data centres counts for: the way there and back, and its price.
 	remoteCost = 60 * time.Millisecond
 	// largeRemoteCost is the same for big answers, whose transfer between data centres is dear.
-	largeRemoteCost = 400 * time.Millisecond
+	largeRemoteCost = 300 * time.Millisecond
 	// failureGain is the weight of one more result in the share of failures.
 	failureGain = 0.2
 	// failureCost multiplies the time expected on an upstream that only fails, on top of its own.
--- a/io/peers/cvnews/cvnews.go
+++ b/io/peers/cvnews/cvnews.go
@@ -24,7 +24,7 @@
 	// nearInterval is the time between two messages of changes within the data centre: a tenth of a request's length.
 	nearInterval = 20 * time.Millisecond
 	// farInterval is the time between two messages of changes to other data centres, whose bytes are dear.
-	farInterval = 200 * time.Millisecond
+	farInterval = 100 * time.Millisecond
 	// wholeInterval is the time between two whole messages; four may be lost before a balancer counts as gone.
 	wholeInterval = 500 * time.Millisecond
 	// toldPeers is how many addresses of others a whole message names.
