--- a/io/balancers/cvnode/cvnode.go
+++ b/io/balancers/cvnode/cvnode.go
@@ -24,6 +24,7 @@
 	"comfreyvale/core/cvsigns"
 	"comfreyvale/core/cvterms"
 	"comfreyvale/io/callers/cvcaller"
+	"comfreyvale/io/operators/cvcounters"
 	"comfreyvale/io/operators/cvnodesettings"
 	"comfreyvale/io/peers/cvnews"
 	"comfreyvale/io/peers/cvrelay"
@@ -75,6 +76,7 @@
 	stopping atomic.Bool
 	server   *cvcaller.Server
 	pool     *cvpool.Pool
+	counters *cvcounters.Counters
 	news     *cvnews.News
 	relays   *cvrelay.Relay
 	// routesWatch and upstreamsWatch follow the directories.
@@ -90,7 +92,9 @@
 	othersReached time.Time
 	groups        map[string]*cvslots.Slots
 	places        map[uint32]place
-	turns         map[string]map[string]float64
+	// known are the instances as last handed to the groups, with whether they drain.
+	known map[string]bool
+	turns map[string]map[string]float64
 	// quarantine and deaths are the requests that upstreams crashed on.
 	quarantine cvquarantine.Quarantine
 	deaths     map[death]time.Time
@@ -115,6 +119,10 @@
 	group.Go(func() error { return ended(ready.Serve(checks)) })
 	relay := &http.Server{Handler: n.relays, ReadHeaderTimeout: headTime}
 	group.Go(func() error { return ended(relay.Serve(peers)) })
+	admin, err := n.serveAdmin(group)
+	if err != nil {
+		n.Logger.WithError(err).Error("metrics cannot be served")
+	}
 	group.Go(func() error { return n.server.Serve(callers) })
 	select {
 	case <-ctx.Done():
@@ -123,6 +131,7 @@
 	n.stop(callers)
 	ready.Close()
 	relay.Close()
+	admin.Close()
 	stop()
 	return group.Wait()
 }
@@ -156,7 +165,8 @@
 	n.groups = make(map[string]*cvslots.Slots)
 	n.deaths = make(map[death]time.Time)
 	n.turns = make(map[string]map[string]float64)
-	n.pool = &cvpool.Pool{Signs: n.Signs, AnswerLimit: answerLimit, Opened: func(string) {}, Dropped: n.dropped}
+	n.counters = cvcounters.New()
+	n.pool = &cvpool.Pool{Signs: n.Signs, AnswerLimit: answerLimit, Opened: func(string) { n.counters.Opened() }, Dropped: n.dropped}
 	n.news = n.newNews()
 	n.routesWatch, n.upstreamsWatch = n.newWatches()
 	n.relays = &cvrelay.Relay{Snapshot: n.snapshot}
--- a/io/balancers/cvnode/cvnode_test.go
+++ b/io/balancers/cvnode/cvnode_test.go
@@ -212,6 +212,7 @@
 	}{
 		"answered":  {cvfaulty.Whole, []string{"request"}},
 		"uncertain": {cvfaulty.Reset, []string{"try failed", "request"}},
+		"refused":   {cvfaulty.Refuses, []string{"try failed", "refused", "request"}},
 		"late":      {cvfaulty.Silent, []string{"try failed", "request"}},
 	}
 	for name, c := range cases {
--- a/io/balancers/cvnode/directories.go
+++ b/io/balancers/cvnode/directories.go
@@ -1,6 +1,7 @@
 package cvnode
 
 import (
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -52,6 +53,7 @@
 	}
 	n.record = change.Value()
 	n.routes.Store(table)
+	n.counters.SetVersion(table.Version())
 	n.Logger.WithFields(fields).Info("configuration in force")
 }
 
@@ -59,11 +61,13 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !ok {
+		n.counters.Reached("upstreams", "lost")
 		n.fleet.Away(now)
 		return
 	}
 	n.upstreamsRead = now
 	if since := n.fleet.AwaySince(); !since.IsZero() {
+		n.counters.Reached("upstreams", "back")
 		n.fleet.Returned(now, n.othersReached.After(since))
 	}
 }
@@ -116,6 +120,9 @@
 	return changed
 }
 
+// namedChanges is how many upstreams a line names at most.
+const namedChanges = 8
+
 // updateGroups hands the instances to their groups.
 func (n *Node) updateGroups(now time.Time) {
 	n.mu.Lock()
@@ -123,18 +130,54 @@
 	for group := range n.groups {
 		byGroup[group] = nil
 	}
-	total := 0
+	before, after := n.known, make(map[string]bool)
+	ready, draining := 0, 0
 	for _, i := range n.fleet.Instances() {
 		byGroup[i.Group()] = append(byGroup[i.Group()], i)
-		total++
+		after[i.ID()] = i.Draining()
+		if i.Draining() {
+			draining++
+			continue
+		}
+		ready++
 	}
+	n.known = after
 	lapsed := n.fleet.Lapsed()
 	n.mu.Unlock()
 	for group, instances := range byGroup {
 		n.slots(group).Update(now, instances)
 	}
 	n.index(byGroup)
-	n.Logger.WithFields(log.Fields{"upstreams": total, "lapsed": lapsed}).Info("upstreams changed")
+	n.counters.SetUpstreams(ready, draining, lapsed)
+	added, removed, nowDraining := compare(before, after)
+	n.Logger.WithFields(log.Fields{
+		"ready": ready, "draining": draining, "lapsed": lapsed, "added": added, "removed": removed, "nowDraining": nowDraining,
+	}).Info("upstreams changed")
+}
+
+// compare names the upstreams that came, went, and began to drain; the maps say which are draining.
+func compare(before, after map[string]bool) (added, removed, nowDraining []string) {
+	for id, draining := range after {
+		was, known := before[id]
+		if !known {
+			added = append(added, id)
+		}
+		if draining && !was {
+			nowDraining = append(nowDraining, id)
+		}
+	}
+	for id := range before {
+		if _, still := after[id]; !still {
+			removed = append(removed, id)
+		}
+	}
+	return named(added), named(removed), named(nowDraining)
+}
+
+// named bounds a list of names, in order.
+func named(ids []string) []string {
+	slices.Sort(ids)
+	return ids[:min(len(ids), namedChanges)]
 }
 
 // sweep drops instances that did not come back, and connections that nobody needs.
--- a/io/balancers/cvnode/probes.go
+++ b/io/balancers/cvnode/probes.go
@@ -66,10 +66,12 @@
 	message := cvmessage.New("", http.MethodGet, path, instance.Address(), nil, nil)
 	answer, err := n.pool.Exchange(ctx, instance, probeConnections, message, deadline, false)
 	if err != nil {
+		n.counters.Reported("missing")
 		n.Logger.WithField("upstream", instance.ID()).WithError(err).Info("no report")
 		return
 	}
 	if load, ok := n.Signs.ParseLoad(answer.Header().Get(n.Signs.Load)); ok && answer.Status() != http.StatusMisdirectedRequest {
 		s.Report(time.Now(), instance.ID(), load, 0)
+		n.counters.Reported("taken")
 	}
 }
--- a/io/balancers/cvnode/request.go
+++ b/io/balancers/cvnode/request.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 
 	"comfreyvale"
+	"comfreyvale/core/cvfault"
 	"comfreyvale/core/cvmessage"
 	"comfreyvale/core/cvroute"
 	"comfreyvale/io/callers/cvheader"
@@ -45,7 +46,9 @@
 	tried    []string
 	ran      bool
 	last     comfreyvale.Answer
-	reason   string
+	// cause and reason say why no further upstream is tried.
+	cause  comfreyvale.Cause
+	reason string
 }
 
 func path(target string) string {
@@ -68,7 +71,7 @@
 	id := request.Header.Get(n.Signs.RequestID)
 	t := n.routes.Load()
 	if t == nil {
-		return n.refuse(nil, id, "no configuration is known yet", lastReturn)
+		return n.refuse(comfreyvale.CauseNoConfiguration, id, "no configuration is known yet", lastReturn)
 	}
 	route, ok := t.Match(request.Host, path(request.RequestURI))
 	if !ok {
@@ -81,11 +84,12 @@
 		group:   n.turn(route),
 	}
 	if evidence, quarantined := n.quarantined(time.Now(), e.message); quarantined {
-		return n.refuse(e, id, evidence, lastReturn)
+		return n.refuse(comfreyvale.CauseQuarantined, id, evidence, lastReturn)
 	}
 	e.slots = n.slots(e.group)
 	e.slots.Begin(time.Now())
 	answer := e.run(ctx)
+	n.counters.Answered(e.group, answer.Status(), time.Since(arrived))
 	e.log(t.Version(), answer)
 	return answer
 }
@@ -130,14 +134,15 @@
 
 // again says whether another upstream may be tried, and gives the final answer if not.
 func (e *exchange) again(v verdict) (comfreyvale.Answer, bool) {
-	if v == expired || (e.ran && !e.route.Idempotent()) {
+	if v == expired || v == left || (e.ran && !e.route.Idempotent()) {
 		return e.final(), false
 	}
+	e.cause, e.reason = comfreyvale.CauseUpstreamRefused, "the upstreams that were tried did not run it"
 	if len(e.tried) >= maxTries || (len(e.tried) >= e.route.Attempts() && e.ran) {
 		return e.final(), false
 	}
 	if v != unsent && !e.slots.AllowFurther(time.Now()) {
-		e.reason = "the budget of further tries is spent"
+		e.cause, e.reason = comfreyvale.CauseRetryBudget, "the budget of further tries is spent"
 		return e.final(), false
 	}
 	return comfreyvale.Answer{}, true
@@ -149,7 +154,7 @@
 	case e.last.Status() != 0:
 		return e.last
 	case !e.ran:
-		return e.node.refuse(e, e.message.ID(), e.reason, e.slots.Wait())
+		return e.node.refuse(e.cause, e.message.ID(), e.reason, e.slots.Wait())
 	case !time.Now().Before(e.deadline.Add(-answerTime)):
 		return e.own(http.StatusGatewayTimeout)
 	}
@@ -162,12 +167,23 @@
 
 // noSlot ends a request for which there is no slot.
 func (e *exchange) noSlot(err error) comfreyvale.Answer {
-	e.reason = err.Error()
+	e.reason, e.cause = err.Error(), slotCause(err)
 	return e.final()
 }
 
+// slotCause names why there was no slot.
+func slotCause(err error) comfreyvale.Cause {
+	switch cvfault.KindOf(err) {
+	case comfreyvale.KindNotFound:
+		return comfreyvale.CauseNoUpstream
+	case comfreyvale.KindTimeout:
+		return comfreyvale.CauseDeadline
+	}
+	return comfreyvale.CauseUpstreamsFull
+}
+
 // refuse tells a caller that its request was not run and when to come back.
-func (n *Node) refuse(_ *exchange, id, reason string, after time.Duration) comfreyvale.Answer {
+func (n *Node) refuse(cause comfreyvale.Cause, id, reason string, after time.Duration) comfreyvale.Answer {
 	after = min(max(after, firstReturn), lastReturn)
 	// Half of the time is drawn by chance, so that callers who were refused together do not come back together.
 	after = after/2 + rand.N(after)
@@ -175,7 +191,8 @@
 		n.Signs.RequestID: {id},
 		"Retry-After":     {strconv.FormatFloat(after.Seconds(), 'f', 3, 64)},
 	}
-	n.Logger.WithFields(log.Fields{"request": id, "reason": reason, "returnMs": after.Milliseconds()}).Info("refused")
+	n.counters.Refused(string(cause))
+	n.Logger.WithFields(log.Fields{"request": id, "cause": cause, "reason": reason, "returnMs": after.Milliseconds()}).Info("refused")
 	return comfreyvale.NewAnswer(http.StatusServiceUnavailable, header, nil)
 }
 
--- a/io/balancers/cvnode/tries.go
+++ b/io/balancers/cvnode/tries.go
@@ -6,11 +6,13 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/pkg/errors"
 
 	"comfreyvale"
 	"comfreyvale/core/cvfault"
 	"comfreyvale/core/cvneed"
 	"comfreyvale/core/cvwaiter"
+	"comfreyvale/io/callers/cvcaller"
 )
 
 const (
@@ -39,8 +41,12 @@
 	unsent
 	// broken is a try that may have run.
 	broken
-	// expired is a try that the deadline ended, or the caller.
+	// expired is a try that the deadline ended.
 	expired
+	// left is a try that ended because the caller left.
+	left
+	// overtaken is a try beside which another one was answered.
+	overtaken
 )
 
 func (v verdict) result() comfreyvale.Result {
@@ -49,7 +55,7 @@
 		return comfreyvale.ResultAnswered
 	case refused:
 		return comfreyvale.ResultRefused
-	case expired:
+	case expired, left, overtaken:
 		return comfreyvale.ResultCancelled
 	}
 	return comfreyvale.ResultFailed
@@ -60,7 +66,7 @@
 	if err != nil {
 		switch {
 		case ctx.Err() != nil && cvfault.KindOf(err) == comfreyvale.KindTimeout:
-			return expired
+			return endedBy(context.Cause(ctx))
 		case cvfault.KindOf(err) == comfreyvale.KindUnavailable, cvfault.KindOf(err) == comfreyvale.KindExhausted:
 			return unsent
 		}
@@ -75,12 +81,23 @@
 	return answered
 }
 
+// endedBy says how a try ended whose context ended.
+func endedBy(cause error) verdict {
+	switch {
+	case errors.Is(cause, cvcaller.ErrCallerGone):
+		return left
+	case errors.Is(cause, context.DeadlineExceeded):
+		return expired
+	}
+	return overtaken
+}
+
 // ran says whether the request may have run in a try that ended so.
 func (v verdict) ran() bool { return v != refused && v != unsent }
 
 // String names the verdict.
 func (v verdict) String() string {
-	return [...]string{"answered", "failed", "refused", "unsent", "broken", "expired"}[v]
+	return [...]string{"answered", "failed", "refused", "unsent", "broken", "expired", "callerLeft", "overtaken"}[v]
 }
 
 // try is one sending of a request to one upstream.
@@ -164,6 +181,7 @@
 		}
 		e.slots.Release(waiter, result)
 		e.report(waiter.Instance().ID(), t.verdict, t.answer)
+		e.node.counters.Tried(e.group, t.verdict.String())
 		if t.verdict == answered || t.verdict == expired {
 			e.slots.Took(time.Now(), e.route.Name(), time.Since(t.began))
 		}
--- a/io/balancers/cvnode/watching.go
+++ b/io/balancers/cvnode/watching.go
@@ -57,11 +57,16 @@
 // tellReading puts into a whole message how far this balancer has read the directories.
 func (n *Node) tellReading(now time.Time, message *cvwire.News) {
 	message.RoutesNext, message.UpstreamsNext = n.routesWatch.Next(), n.upstreamsWatch.Next()
+	message.ReadAgeMs = uint32(n.readAge(now).Milliseconds())
+}
+
+// readAge is how long ago the directory that was read least lately was read, an hour at most.
+func (n *Node) readAge(now time.Time) time.Duration {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	oldest := n.routesRead
 	if n.upstreamsRead.Before(oldest) {
 		oldest = n.upstreamsRead
 	}
-	n.mu.Unlock()
-	message.ReadAgeMs = uint32(min(now.Sub(oldest), time.Hour).Milliseconds())
+	return min(now.Sub(oldest), time.Hour)
 }
--- a/io/callers/cvcaller/connection.go
+++ b/io/callers/cvcaller/connection.go
@@ -63,8 +63,9 @@
 
 func (c *connection) serve() {
 	defer c.server.remove(c)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	ctx, end := context.WithCancelCause(context.Background())
+	defer end(nil)
+	cancel := func() { end(ErrCallerGone) }
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
@@ -137,6 +138,9 @@
 	_, _ = io.Copy(io.Discard, c.reader)
 }
 
+// ErrCallerGone is the cause of a context that ended because the caller closed its connection.
+var ErrCallerGone = errors.New("the caller has closed its connection")
+
 // errClosing says that this side ends the connection.
 var errClosing = errors.New("the connection ends")
 
