Start nothing late while others wait; play the load in a test

Change: while the expected wait is more than half of a request's patience, it takes only a slot that is expected to be in time.

--- a/core/cvadmission/cvadmission.go
+++ b/core/cvadmission/cvadmission.go
@@ -22,6 +22,8 @@
 	// patienceMargin is how long before its last start a request takes any slot, so that one which comes free is not
 	// missed between two looks.
 	patienceMargin = 30 * time.Millisecond
+	// crowdedShare is the part of a request's patience from which the expected wait of a new one counts as crowded.
+	crowdedShare = 0.5
 	// lateWait is how long a request waits that cannot be on time any more, such as one that is tried again.
 	lateWait = 50 * time.Millisecond
 )
@@ -65,7 +67,8 @@
 // grant gives a request a slot if there is one for it.
 func (a *Admission) grant(now time.Time, draw uint64, waiter *cvwaiter.Waiter) bool {
 	var instance *cvinstance.Instance
-	if now.Before(a.Selector.LastStart(waiter.Need()).Add(-patienceMargin)) {
+	last := a.Selector.LastStart(waiter.Need())
+	if now.Before(last.Add(-patienceMargin)) || a.crowded(last.Sub(waiter.Entered())) {
 		instance, _ = a.Selector.PickTimely(now, draw, waiter.Need())
 	} else {
 		instance, _ = a.Selector.Pick(now, draw, waiter.Need())
@@ -77,6 +80,12 @@
 	return true
 }
 
+// crowded says whether so many wait that a late answer would make others late: a try on a slow machine holds its slot
+// far into the time in which the machine is quick again.
+func (a *Admission) crowded(patience time.Duration) bool {
+	return a.Wait() > time.Duration(crowdedShare*float64(patience))
+}
+
 // feasible says whether a request that enters now can be expected to get a slot before it is hopeless.
 func (a *Admission) feasible(now time.Time, waiter *cvwaiter.Waiter) bool {
 	return now.Add(a.Wait()).Before(a.lastWait(waiter))
--- /dev/null
+++ b/core/cvadmission/played_test.go
@@ -0,0 +1,288 @@
+package cvadmission_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreyvale"
+	"comfreyvale/core/cvadmission"
+	"comfreyvale/core/cvinstance"
+	"comfreyvale/core/cvload"
+	"comfreyvale/core/cvneed"
+	"comfreyvale/core/cvselector"
+	"comfreyvale/core/cvwaiter"
+)
+
+// The load that is played: upstreams of few slots on machines whose neighbours make them slow for 300 ms at a time.
+const (
+	playedUpstreams = 12
+	playedSlots     = 4
+	playedWork      = 120 * time.Millisecond
+	playedTarget    = 300 * time.Millisecond
+	playedDeadline  = time.Second
+	playedEpoch     = 300 * time.Millisecond
+	playedSlowShare = 0.25
+	playedSlowness  = 4
+	playedFull      = 1.7
+	playedTime      = 60 * time.Second
+)
+
+// event is something that happens at a time.
+type event struct {
+	at time.Time
+	do func(now time.Time)
+}
+
+// events is a queue of events by time.
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// upstream is one that is played: it knows what runs on it, and how slow its machine is at a time.
+type upstream struct {
+	running int
+	seed    uint64
+}
+
+func (u *upstream) slowness(now time.Time) float64 {
+	epoch := uint64(now.UnixNano()) / uint64(playedEpoch)
+	if rand.New(rand.NewPCG(u.seed, epoch)).Float64() < playedSlowShare {
+		return playedSlowness
+	}
+	return 1
+}
+
+// played is what callers got.
+type played struct {
+	onTime, late, refused, total int
+}
+
+func (p played) share() float64 { return float64(p.onTime) / float64(p.total) }
+
+// player plays a load against a way to decide.
+type player struct {
+	random    *rand.Rand
+	queue     events
+	upstreams []*upstream
+	got       played
+}
+
+func newPlayer(seed uint64) *player {
+	p := &player{random: rand.New(rand.NewPCG(seed, 1))}
+	for n := range playedUpstreams {
+		p.upstreams = append(p.upstreams, &upstream{seed: seed*1000 + uint64(n)})
+	}
+	return p
+}
+
+func (p *player) at(when time.Time, do func(now time.Time)) { heap.Push(&p.queue, event{when, do}) }
+
+// run plays arrivals at a rate, open loop.
+func (p *player) run(perSecond float64, arrive func(now time.Time)) played {
+	start := time.Unix(1000, 0)
+	var next func(now time.Time)
+	next = func(now time.Time) {
+		p.got.total++
+		arrive(now)
+		if gap := time.Duration(p.random.ExpFloat64() / perSecond * float64(time.Second)); now.Sub(start) < playedTime {
+			p.at(now.Add(gap), next)
+		}
+	}
+	p.at(start, next)
+	for p.queue.Len() > 0 {
+		e := heap.Pop(&p.queue).(event)
+		e.do(e.at)
+	}
+	return p.got
+}
+
+// begin starts work on an upstream and returns how long it takes.
+func (p *player) begin(now time.Time, n int) time.Duration {
+	u := p.upstreams[n]
+	u.running++
+	took := float64(playedWork) * math.Exp(0.3*p.random.NormFloat64()) * u.slowness(now)
+	if u.running >= playedSlots {
+		took *= playedFull
+	}
+	return time.Duration(took)
+}
+
+func (p *player) answered(arrived, now time.Time) {
+	switch took := now.Sub(arrived); {
+	case took <= playedTarget:
+		p.got.onTime++
+	case took <= playedDeadline:
+		p.got.late++
+	}
+}
+
+// naive takes a random upstream with a free slot, and lets requests wait in order until their deadline.
+func naive(seed uint64, perSecond float64) played {
+	p := newPlayer(seed)
+	var waiting []time.Time
+	var advance func(now time.Time)
+	advance = func(now time.Time) {
+		for len(waiting) > 0 {
+			arrived := waiting[0]
+			if now.Sub(arrived) > playedDeadline {
+				waiting = waiting[1:]
+				p.got.refused++
+				continue
+			}
+			first := p.random.IntN(playedUpstreams)
+			found := -1
+			for i := range playedUpstreams {
+				if n := (first + i) % playedUpstreams; p.upstreams[n].running < playedSlots {
+					found = n
+					break
+				}
+			}
+			if found < 0 {
+				return
+			}
+			waiting = waiting[1:]
+			p.at(now.Add(p.begin(now, found)), func(now time.Time) {
+				p.upstreams[found].running--
+				p.answered(arrived, now)
+				advance(now)
+			})
+		}
+	}
+	return p.run(perSecond, func(now time.Time) {
+		waiting = append(waiting, now)
+		advance(now)
+	})
+}
+
+// ours decides by the real admission and selector, which know the machines by the reports that answers bring.
+func ours(seed uint64, perSecond float64) played {
+	p := newPlayer(seed)
+	selector := &cvselector.Selector{DataCentre: "dc"}
+	var instances []*cvinstance.Instance
+	for n := range playedUpstreams {
+		instances = append(instances, cvinstance.New(fmt.Sprint(n), "g", "", "dc", playedSlots))
+	}
+	selector.Update(time.Unix(1000, 0), instances)
+	a := &cvadmission.Admission{Selector: selector}
+	var advance func(now time.Time)
+	start := func(now time.Time, w *cvwaiter.Waiter) {
+		var n int
+		fmt.Sscan(w.Instance().ID(), &n)
+		p.at(now.Add(p.begin(now, n)), func(now time.Time) {
+			running := p.upstreams[n].running
+			p.upstreams[n].running--
+			selector.Done(now, w.Instance().ID(), w.Began(), comfreyvale.ResultAnswered)
+			selector.Report(now, w.Instance().ID(), cvload.New(running, 0, playedSlots, p.upstreams[n].slowness(now)), 1)
+			a.Freed(now)
+			p.answered(w.Entered(), now)
+			advance(now)
+		})
+	}
+	advance = func(now time.Time) {
+		for a.Len() > 0 {
+			w, ok := a.Next(now, p.random.Uint64())
+			if !ok {
+				break
+			}
+			start(now, w)
+		}
+		p.got.refused += len(a.Hopeless(now))
+	}
+	// Looks that the passing of time makes necessary.
+	for tick := time.Unix(1000, 0); tick.Before(time.Unix(1000, 0).Add(playedTime + time.Second)); tick = tick.Add(20 * time.Millisecond) {
+		p.at(tick, func(now time.Time) { advance(now) })
+	}
+	return p.run(perSecond, func(now time.Time) {
+		w := cvwaiter.New(now, cvneed.New(now.Add(playedTarget), now.Add(playedDeadline), 0, false).WithWork(playedWork))
+		switch a.Enter(now, p.random.Uint64(), w) {
+		case cvadmission.Granted:
+			start(now, w)
+		case cvadmission.Refused:
+			p.got.refused++
+		}
+	})
+}
+
+// TestPlayedLoad plays 60 seconds of load and compares what callers get with a naive way: at every load more of them are
+// answered on time, and in overload most of those that the machines could serve.
+func TestPlayedLoad(t *testing.T) {
+	// A machine of usual speed serves three requests at a time without turning slow; a quarter of the machines is slow.
+	capacity := playedUpstreams * (playedSlots - 1) / playedWork.Seconds() * (1 - playedSlowShare)
+	cases := map[string]struct {
+		load, least float64
+	}{
+		"a third of the load": {0.33, 0.9},
+		"most of the load":    {0.8, 0.75},
+		"all of it":           {1.0, 0.6},
+		"overload":            {1.5, 0.4},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(3) {
+				mine, other := ours(seed, c.load*capacity), naive(seed, c.load*capacity)
+				t.Logf("seed %d: ours %+v %.3f, naive %+v %.3f", seed, mine, mine.share(), other, other.share())
+				require.GreaterOrEqual(t, mine.share(), c.least)
+				require.Greater(t, mine.share(), other.share())
+			}
+		})
+	}
+}
+
+// TestRefusesAtOnce refuses a request for which a slot cannot be expected in time, and lets no request wait past that.
+func TestRefusesAtOnce(t *testing.T) {
+	start := time.Unix(1000, 0)
+	selector := &cvselector.Selector{DataCentre: "dc"}
+	selector.Update(start, []*cvinstance.Instance{cvinstance.New("0", "g", "", "dc", 1)})
+	a := &cvadmission.Admission{Selector: selector}
+	need := cvneed.New(start.Add(playedTarget), start.Add(playedDeadline), 0, false).WithWork(playedWork)
+	require.Equal(t, cvadmission.Granted, a.Enter(start, 1, cvwaiter.New(start, need)))
+	waiting := 0
+	for range 100 {
+		if a.Enter(start, 1, cvwaiter.New(start, need)) == cvadmission.Waiting {
+			waiting++
+		}
+	}
+	require.Positive(t, waiting)
+	require.Less(t, waiting, 20)
+	require.Empty(t, a.Hopeless(start.Add(playedTarget-playedWork-time.Millisecond)))
+	require.Len(t, a.Hopeless(start.Add(playedTarget-playedWork)), waiting)
+	require.Zero(t, a.Len())
+}
+
+// TestOrder gives a slot to the more urgent request, and among equals to the one whose time ends first.
+func TestOrder(t *testing.T) {
+	start := time.Unix(1000, 0)
+	selector := &cvselector.Selector{DataCentre: "dc"}
+	selector.Update(start, []*cvinstance.Instance{cvinstance.New("0", "g", "", "dc", 1)})
+	a := &cvadmission.Admission{Selector: selector}
+	enter := func(target time.Duration, priority int) *cvwaiter.Waiter {
+		w := cvwaiter.New(start, cvneed.New(start.Add(target), start.Add(time.Minute), priority, false).WithWork(time.Millisecond))
+		a.Enter(start, 1, w)
+		return w
+	}
+	first := enter(time.Second, 0)
+	late, soon, urgent := enter(9*time.Second, 2), enter(8*time.Second, 2), enter(30*time.Second, 1)
+	for n, expected := range []*cvwaiter.Waiter{urgent, soon, late} {
+		now := start.Add(time.Duration(n+1) * time.Millisecond)
+		done := first
+		selector.Done(now, "0", done.Began(), comfreyvale.ResultAnswered)
+		w, ok := a.Next(now, 1)
+		require.True(t, ok)
+		require.Same(t, expected, w)
+		first = w
+	}
+}
