--- a/io/operators/cvlines/cvlines.go
+++ b/io/operators/cvlines/cvlines.go
@@ -85,6 +85,7 @@
 			l.report(now)
 		case <-ctx.Done():
 			l.flush()
+			l.report(time.Now())
 			return nil
 		}
 	}
@@ -115,10 +116,7 @@
 		return
 	}
 	var b bytes.Buffer
-	entry := log.NewEntry(&log.Logger{}).WithField("lines", dropped)
-	entry.Level = log.WarnLevel
-	entry.Message = "log lines dropped"
-	entry.Timestamp = now
+	entry := &log.Entry{Fields: log.Fields{"lines": dropped}, Level: log.WarnLevel, Message: "log lines dropped", Timestamp: now}
 	if json.New(&b).HandleLog(entry) == nil {
 		l.write(b.Bytes())
 	}
