--- a/core/cvneighbours/cvneighbours.go
+++ b/core/cvneighbours/cvneighbours.go
@@ -40,6 +40,7 @@
 	dataCentre string
 	version    int64
 	stopping   bool
+	away       bool
 	readAt     time.Time
 	routes     int64
 	upstreams  int64
@@ -83,12 +84,28 @@
 }
 
 // Describe takes what a balancer says of itself in a whole message.
-func (n *Neighbours) Describe(address, dataCentre string, version int64, stopping bool) {
+func (n *Neighbours) Describe(address, dataCentre string, version int64, stopping, away bool) {
 	if found := n.known[address]; found != nil {
-		found.dataCentre, found.version, found.stopping = dataCentre, version, stopping
+		found.dataCentre, found.version, found.stopping, found.away = dataCentre, version, stopping, away
 	}
 }
 
+// Reaching is a balancer that can read the platform's directories, of the own data centre if there is one, or empty.
+func (n *Neighbours) Reaching(now time.Time) string {
+	best := ""
+	for a, k := range n.known {
+		if k.away || k.version == 0 || !n.live(now, k) {
+			continue
+		}
+		near := k.dataCentre == n.DataCentre
+		bestNear := best != "" && n.known[best].dataCentre == n.DataCentre
+		if best == "" || (near && !bestNear) || (near == bestNear && a < best) {
+			best = a
+		}
+	}
+	return best
+}
+
 // Live are the addresses of the balancers that are there, those of the own data centre alone if near is set, in order.
 func (n *Neighbours) Live(now time.Time, near bool) []string {
 	var found []string
--- a/core/cvneighbours/cvneighbours_test.go
+++ b/core/cvneighbours/cvneighbours_test.go
@@ -14,7 +14,7 @@
 
 func heard(n *cvneighbours.Neighbours, now time.Time, address, dataCentre string, number uint64) {
 	n.Hear(now, address, 1, number)
-	n.Describe(address, dataCentre, int64(number), false)
+	n.Describe(address, dataCentre, int64(number), false, false)
 }
 
 // TestLive knows who is there, near or anywhere, and tries again who is silent.
@@ -102,3 +102,19 @@
 	_, _, watched = n.Watched(start.Add(1500*time.Millisecond), time.Second)
 	require.False(t, watched)
 }
+
+// TestReaching names a balancer that can read the directories, a near one first.
+func TestReaching(t *testing.T) {
+	n := &cvneighbours.Neighbours{Self: "a", DataCentre: "x"}
+	require.Empty(t, n.Reaching(start))
+	heard(n, start, "b", "y", 1)
+	heard(n, start, "d", "x", 1)
+	heard(n, start, "c", "x", 1)
+	require.Equal(t, "c", n.Reaching(start))
+	n.Describe("c", "x", 1, false, true)
+	n.Describe("d", "x", 1, false, true)
+	require.Equal(t, "b", n.Reaching(start))
+	n.Describe("b", "y", 1, false, true)
+	require.Empty(t, n.Reaching(start))
+	require.Empty(t, n.Reaching(start.Add(time.Minute)))
+}
--- a/io/balancers/cvnode/relay.go
+++ b/io/balancers/cvnode/relay.go
@@ -48,14 +48,21 @@
 	return nil
 }
 
-// helper is the balancer to ask, or empty when the directories can be read or nobody knows more.
+// helper is the balancer to ask: one that can read the directories if this one cannot, else one that knows a newer
+// configuration, or any if this one knows nothing. It is empty when nobody can help.
 func (n *Node) helper() string {
 	n.mu.Lock()
 	away, empty := !n.fleet.AwaySince().IsZero(), len(n.fleet.Instances()) == 0
 	n.mu.Unlock()
 	t := n.routes.Load()
 	address, version := n.news.Newest()
-	if address == "" || !(away || empty || t == nil || t.Version() < version) {
+	if known := t != nil && t.Version() >= version && !empty; known {
+		address = ""
+	}
+	if reaching := n.news.Reaching(); away && reaching != "" {
+		address = reaching
+	}
+	if address == "" {
 		return ""
 	}
 	host, _, err := net.SplitHostPort(address)
--- a/io/peers/cvnews/cvnews.go
+++ b/io/peers/cvnews/cvnews.go
@@ -96,6 +96,13 @@
 	return n.neighbours.Newest(time.Now())
 }
 
+// Reaching is a balancer that can read the platform's directories, or empty.
+func (n *News) Reaching() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.neighbours.Reaching(time.Now())
+}
+
 // Mine says whether, of the balancers of the own data centre, a task falls to this one.
 func (n *News) Mine(now time.Time, task string) bool {
 	n.mu.Lock()
@@ -242,7 +249,7 @@
 	n.mu.Lock()
 	fresh := n.neighbours.Hear(now, from, message.GetProcess(), message.GetNumber())
 	if fresh && message.GetWhole() {
-		n.neighbours.Describe(from, message.GetDataCentre(), message.GetVersion(), message.GetStopping())
+		n.neighbours.Describe(from, message.GetDataCentre(), message.GetVersion(), message.GetStopping(), message.GetDirectoryAway())
 		n.neighbours.Read(from, now.Add(-time.Duration(message.GetReadAgeMs())*time.Millisecond), message.GetRoutesNext(), message.GetUpstreamsNext())
 		n.neighbours.Learn(now, message.GetPeers())
 	}
