Put what a choice rested on into the lines of a request

Each try and each request now logs how long it waited, the own tries in flight, and the age, count and slowness of the last report; the work expected of a request is the 35% quantile of recent tries, as half of them may be slow after a crash.

--- a/cmd/comfreyvale/configuration.go
+++ b/cmd/comfreyvale/configuration.go
@@ -18,6 +18,7 @@
 	"comfreyvale/core/cvservice"
 	"comfreyvale/core/cvwire"
 	"comfreyvale/io/operators/cvcollector"
+	"comfreyvale/io/operators/cvnodesettings"
 	"comfreyvale/io/operators/cvoperator"
 	"comfreyvale/io/operators/cvpublisher"
 	"comfreyvale/io/operators/cvsettings"
@@ -224,7 +225,8 @@
 func (*referenceCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
 	fmt.Println("# Reference of all fields\n\nPrinted by `comfreyvale reference`.")
 	printFields("Service file (`"+cvcollector.FileName+"`)", cvservice.Fields())
-	printFields("Settings of a VM", cvsettings.Fields())
+	printFields("Settings of a VM (`run`)", cvsettings.Fields())
+	printFields("Settings of a VM whose routes come from the platform's directory (`serve`)", cvnodesettings.Fields())
 	return subcommands.ExitSuccess
 }
 
--- a/io/balancers/cvnode/tries.go
+++ b/io/balancers/cvnode/tries.go
@@ -22,7 +22,7 @@
 	// hedgeBusy is the share of taken slots from which none is spared for a second try beside the first.
 	hedgeBusy = 0.7
 	// workQuantile is the share of recent tries of a route that were quicker than the work expected of the next.
-	workQuantile = 0.5
+	workQuantile = 0.35
 	// maxTries bounds the tries of one request, those of which no byte left included.
 	maxTries = 8
 )
@@ -102,11 +102,13 @@
 
 // try is one sending of a request to one upstream.
 type try struct {
-	waiter  *cvwaiter.Waiter
-	began   time.Time
-	verdict verdict
-	answer  comfreyvale.Answer
-	err     error
+	waiter *cvwaiter.Waiter
+	began  time.Time
+	// evidence is what the choice of the upstream rested on, for the log.
+	evidence log.Fields
+	verdict  verdict
+	answer   comfreyvale.Answer
+	err      error
 }
 
 // run tries upstreams until there is an answer, or none can be had. A request that may run more than once is sent to a
@@ -128,6 +130,7 @@
 			}
 		case t := <-ended:
 			open--
+			e.evident = t.evidence
 			if t.verdict == answered {
 				return t.answer
 			}
@@ -152,7 +155,7 @@
 
 // need is what the request asks of its next upstream.
 func (e *exchange) need() cvneed.Need {
-	// Half of the tries are quicker than this, which is little above the work on a machine of usual speed.
+	// A third of the tries are quicker than this, which is about the work on a machine of usual speed.
 	work, _ := e.slots.Usual(time.Now(), e.route.Name(), workQuantile)
 	return cvneed.New(e.arrived.Add(e.route.Target()), e.deadline, e.route.Priority(), e.route.Large()).WithWork(work).WithAvoid(e.tried)
 }
@@ -172,6 +175,7 @@
 	e.tried = append(e.tried, waiter.Instance().ID())
 	go func() {
 		t := &try{waiter: waiter, began: time.Now()}
+		t.evidence = e.evidence(waiter)
 		t.answer, t.err = e.node.pool.Exchange(ctx, waiter.Instance(), e.connections(), e.message, e.deadline, !e.route.Idempotent())
 		t.verdict = e.judge(ctx, t.answer, t.err)
 		result := t.verdict.result()
@@ -195,6 +199,15 @@
 	}()
 }
 
+// evidence is what the choice of an upstream rested on.
+func (e *exchange) evidence(waiter *cvwaiter.Waiter) log.Fields {
+	inFlight, age, busy, slowness := e.slots.Evidence(waiter.Began(), waiter.Instance().ID())
+	return log.Fields{
+		"waitedMs": waiter.Began().Sub(waiter.Entered()).Milliseconds(), "ownTries": inFlight,
+		"reportAgeMs": age.Milliseconds(), "reportBusy": busy, "reportSlowness": slowness,
+	}
+}
+
 // hedgeTimer fires when the first try takes longer than most, or never.
 func (e *exchange) hedgeTimer() *time.Timer {
 	after := time.Duration(-1)
@@ -247,7 +260,7 @@
 
 // note logs a try that brought no answer.
 func (e *exchange) note(t *try) {
-	entry := e.node.Logger.WithFields(log.Fields{
+	entry := e.node.Logger.WithFields(t.evidence).WithFields(log.Fields{
 		"request": e.message.ID(), "route": e.route.Name(), "upstream": t.waiter.Instance().ID(), "try": len(e.tried),
 		"outcome": t.verdict.String(), "tookMs": time.Since(t.began).Milliseconds(), "status": t.answer.Status(),
 	})
--- a/io/upstreams/cvslots/news.go
+++ b/io/upstreams/cvslots/news.go
@@ -11,6 +11,9 @@
 // reportLife is the age from which a report is not told any more: a machine's speed has changed by then.
 const reportLife = 300 * time.Millisecond
 
+// longestAge stands for reports that never came.
+const longestAge = time.Hour
+
 // percent turns a slowness into hundredths.
 const percent = 100
 
@@ -62,6 +65,15 @@
 	message.Slowness = append(message.Slowness, uint32(slowness*percent))
 }
 
+// Evidence is what the choice of an upstream rested on: the own tries in flight there, and the last report with its age.
+func (s *Slots) Evidence(now time.Time, id string) (inFlight int, age time.Duration, busy int, slowness float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	inFlight, age, busy, slowness, _ = s.admission.Selector.Told(now, id)
+	return inFlight, min(age, longestAge), busy, slowness
+}
+
 // Hear takes one upstream's figures out of a peer's message.
 func (s *Slots) Hear(now time.Time, message *cvwire.News, index int, id string) {
 	s.mu.Lock()
