One balancer of each data centre reads the platform's log for all

Change: cvshared takes records from a balancer that reads; every balancer keeps the last ones for others; it reads itself when nobody does. The long waits and their supervision are gone. Tests: TestOneReads (cvnode), TestAhead (cvneighbours).

--- a/core/cvneighbours/cvneighbours.go
+++ b/core/cvneighbours/cvneighbours.go
@@ -97,9 +97,7 @@
 		if k.away || k.version == 0 || !n.live(now, k) {
 			continue
 		}
-		near := k.dataCentre == n.DataCentre
-		bestNear := best != "" && n.known[best].dataCentre == n.DataCentre
-		if best == "" || (near && !bestNear) || (near == bestNear && a < best) {
+		if n.nearer(a, best) {
 			best = a
 		}
 	}
@@ -133,17 +131,6 @@
 	return true
 }
 
-// Among says whether a task falls to this balancer when so many of all balancers have it.
-func (n *Neighbours) Among(now time.Time, task string, count int) bool {
-	own, before := weight(n.Self, task), 0
-	for address, k := range n.known {
-		if !k.stopping && n.live(now, k) && weight(address, task) > own {
-			before++
-		}
-	}
-	return before < count
-}
-
 // Read takes when a balancer read the platform's directories last, and how far.
 func (n *Neighbours) Read(address string, at time.Time, routes, upstreams int64) {
 	if found := n.known[address]; found != nil {
@@ -151,16 +138,34 @@
 	}
 }
 
-// Watched says whether a balancer that is there has read the directories within a time, and how far the furthest has read.
-func (n *Neighbours) Watched(now time.Time, within time.Duration) (routes, upstreams int64, watched bool) {
-	for _, k := range n.known {
-		if !n.live(now, k) {
+// Ahead returns balancers that have read past an offset of the routes and of the upstreams, near ones first, or empty
+// texts. Covered says that some balancer has read the directories itself within a time.
+func (n *Neighbours) Ahead(now time.Time, within time.Duration, routes, upstreams int64) (ofRoutes, ofUpstreams string, covered bool) {
+	for a, k := range n.known {
+		if !n.live(now, k) || k.stopping || now.Sub(k.readAt) >= within {
 			continue
 		}
-		routes, upstreams = max(routes, k.routes), max(upstreams, k.upstreams)
-		watched = watched || (!k.stopping && now.Sub(k.readAt) < within)
+		covered = true
+		if k.routes > routes && n.nearer(a, ofRoutes) {
+			ofRoutes = a
+		}
+		if k.upstreams > upstreams && n.nearer(a, ofUpstreams) {
+			ofUpstreams = a
+		}
+	}
+	return ofRoutes, ofUpstreams, covered
+}
+
+// nearer says whether a balancer is to be asked before another one: those of the own data centre first.
+func (n *Neighbours) nearer(a, b string) bool {
+	if b == "" {
+		return true
+	}
+	near, otherNear := n.known[a].dataCentre == n.DataCentre, n.known[b].dataCentre == n.DataCentre
+	if near != otherNear {
+		return near
 	}
-	return routes, upstreams, watched
+	return a < b
 }
 
 // weight is the rank of a balancer for a task, by rendezvous hashing.
--- a/core/cvneighbours/cvneighbours_test.go
+++ b/core/cvneighbours/cvneighbours_test.go
@@ -55,7 +55,7 @@
 	require.GreaterOrEqual(t, n.Sharers(start.Add(20*time.Second)), 6, "silent, but counted in the window")
 }
 
-// TestTasks gives each task to one of a data centre's balancers, and a shared one to so many, by all balancers' views.
+// TestTasks gives each task to one of a data centre's balancers, by all balancers' views.
 func TestTasks(t *testing.T) {
 	addresses := []string{"a", "b", "c", "d", "e"}
 	var views []*cvneighbours.Neighbours
@@ -68,39 +68,40 @@
 	}
 	share := map[string]int{}
 	for task := range 200 {
-		mine, among := 0, 0
+		mine := 0
 		for _, n := range views {
 			if n.Mine(start, fmt.Sprint(task)) {
 				mine++
 				share[n.Self]++
 			}
-			if n.Among(start, fmt.Sprint(task), 2) {
-				among++
-			}
 		}
 		require.Equal(t, 1, mine)
-		require.Equal(t, 2, among)
 	}
 	for _, self := range addresses {
 		require.InDelta(t, 40, share[self], 20)
 	}
 }
 
-// TestWatched says whether somebody reads the directories, and how far.
-func TestWatched(t *testing.T) {
-	n := &cvneighbours.Neighbours{Self: "a"}
-	_, _, watched := n.Watched(start, time.Second)
-	require.False(t, watched)
-	heard(n, start, "b", "x", 1)
+// TestAhead names those that have read further, near ones first, and says whether anybody reads.
+func TestAhead(t *testing.T) {
+	n := &cvneighbours.Neighbours{Self: "a", DataCentre: "x"}
+	_, _, covered := n.Ahead(start, time.Second, 0, 0)
+	require.False(t, covered)
+	heard(n, start, "b", "y", 1)
 	heard(n, start, "c", "x", 1)
-	n.Read("b", start.Add(-time.Minute), 9, 4)
-	n.Read("c", start, 3, 7)
-	routes, upstreams, watched := n.Watched(start, time.Second)
-	require.True(t, watched)
-	require.Equal(t, int64(9), routes)
-	require.Equal(t, int64(7), upstreams)
-	_, _, watched = n.Watched(start.Add(1500*time.Millisecond), time.Second)
-	require.False(t, watched)
+	heard(n, start, "d", "x", 1)
+	n.Read("b", start, 9, 7)
+	n.Read("c", start, 9, 4)
+	n.Read("d", start.Add(-time.Minute), 20, 20)
+	routes, upstreams, covered := n.Ahead(start, time.Second, 8, 4)
+	require.True(t, covered)
+	require.Equal(t, "c", routes, "the near one first")
+	require.Equal(t, "b", upstreams, "whoever is ahead, and reads itself")
+	routes, _, covered = n.Ahead(start, time.Second, 9, 7)
+	require.True(t, covered)
+	require.Empty(t, routes)
+	_, _, covered = n.Ahead(start.Add(1500*time.Millisecond), time.Second, 0, 0)
+	require.False(t, covered)
 }
 
 // TestReaching names a balancer that can read the directories, a near one first.
--- a/io/balancers/cvnode/cvnode.go
+++ b/io/balancers/cvnode/cvnode.go
@@ -85,8 +85,10 @@
 	mu sync.Mutex
 	// record is the configuration in force as it was read.
 	record []byte
-	// routesRead and upstreamsRead are when the directories were read last.
+	// routesRead and upstreamsRead are when this balancer itself read the directories last.
 	routesRead, upstreamsRead time.Time
+	// routesKept and upstreamsKept are the last records of the directories, for other balancers.
+	routesKept, upstreamsKept kept
 	fleet                     cvfleet.Fleet
 	// othersReached is when another balancer said last that it can read the directory.
 	othersReached time.Time
@@ -112,7 +114,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, background := errgroup.WithContext(background)
-	for _, run := range []func(context.Context) error{n.routesWatch.Run, n.upstreamsWatch.Run, n.supervise, n.watchSettings, n.news.Run, n.relay, n.probe, n.tick} {
+	for _, run := range []func(context.Context) error{n.routesWatch.Run, n.upstreamsWatch.Run, n.watchSettings, n.news.Run, n.relay, n.probe, n.tick} {
 		group.Go(func() error { return run(background) })
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headTime}
@@ -169,7 +171,7 @@
 	n.pool = &cvpool.Pool{Signs: n.Signs, AnswerLimit: answerLimit, Opened: func(string) { n.counters.Opened() }, Dropped: n.dropped}
 	n.news = n.newNews()
 	n.routesWatch, n.upstreamsWatch = n.newWatches()
-	n.relays = &cvrelay.Relay{Snapshot: n.snapshot}
+	n.relays = &cvrelay.Relay{Snapshot: n.snapshot, Records: n.records}
 	n.server = &cvcaller.Server{Handle: n.handle, Repeatable: n.repeatable, Limits: n.limits, Refused: n.refusedUnread}
 }
 
--- a/io/balancers/cvnode/cvnode_test.go
+++ b/io/balancers/cvnode/cvnode_test.go
@@ -1,6 +1,7 @@
 package cvnode_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -291,3 +292,61 @@
 	require.LessOrEqual(t, lost, 3)
 	nodes[1].serves(t, "/safe/after", http.StatusOK)
 }
+
+// TestOneReads has one of several balancers read the directories; the others have its records in force all the same, and
+// read themselves when it is gone.
+func TestOneReads(t *testing.T) {
+	d := newDeployment(t)
+	d.server("a", "g")
+	d.publish(1, safe("g"))
+	counted := []*cvmemdirectory.Directory{}
+	for range 3 {
+		// Each balancer has a directory of its own with the same records, so that its reads can be counted.
+		counted = append(counted, cvmemdirectory.New())
+	}
+	publish := func(version int64, routes ...testRoute) {
+		value, err := json.Marshal(testRoutes{Version: version, Routes: routes})
+		require.NoError(t, err)
+		for _, c := range counted {
+			c.Put("routes", value)
+		}
+	}
+	publish(1, safe("g"))
+	for _, c := range counted {
+		d.nodeReading(c, d.upstreams)
+	}
+	for _, n := range d.nodes {
+		n.awaitReady(t)
+	}
+	reads := func() []int {
+		var found []int
+		for _, c := range counted {
+			found = append(found, c.Reads())
+		}
+		return found
+	}
+	reading := func(wait time.Duration) (readers []int) {
+		before := reads()
+		time.Sleep(wait)
+		for i, after := range reads() {
+			if after > before[i] {
+				readers = append(readers, i)
+			}
+		}
+		return readers
+	}
+	require.Eventually(t, func() bool { return len(reading(3*time.Second)) == 1 }, 60*time.Second, time.Millisecond)
+	publish(2, safe("g"), once("g"))
+	for _, n := range d.nodes {
+		n.serves(t, "/once/x", http.StatusOK)
+	}
+	reader := reading(3 * time.Second)
+	require.Len(t, reader, 1, "the change made others read")
+	d.nodes[reader[0]].stop()
+	publish(3, safe("g"), once("g"), testRoute{Prefix: "/new/", Idempotent: true, Timeout: time.Second, Attempts: 1, Splits: map[string]float64{"g": 1}})
+	for i, n := range d.nodes {
+		if i != reader[0] {
+			n.serves(t, "/new/x", http.StatusOK)
+		}
+	}
+}
--- a/io/balancers/cvnode/directories.go
+++ b/io/balancers/cvnode/directories.go
@@ -13,25 +13,22 @@
 
 // newWatches returns what follows the two directories.
 func (n *Node) newWatches() (routes, upstreams *cvwatch.Watch) {
-	routes = &cvwatch.Watch{Directory: n.Configuration, Logger: n.Logger, Wait: n.wait, Reached: n.routesReached, Changed: n.routesChanged}
-	upstreams = &cvwatch.Watch{Directory: n.Upstreams, Logger: n.Logger, Wait: n.wait, Reached: n.upstreamsReached, Changed: n.upstreamsChanged}
+	ofRoutes := n.share(routesDirectory, n.Configuration, &n.routesRead)
+	ofUpstreams := n.share(upstreamsDirectory, n.Upstreams, &n.upstreamsRead)
+	routes = &cvwatch.Watch{Directory: ofRoutes, Logger: n.Logger, Reached: func(time.Time, bool) {}, Changed: n.routesChanged}
+	upstreams = &cvwatch.Watch{Directory: ofUpstreams, Logger: n.Logger, Reached: n.upstreamsReached, Changed: n.upstreamsChanged}
 	return routes, upstreams
 }
 
-func (n *Node) routesReached(now time.Time, ok bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if ok {
-		n.routesRead = now
-	}
-}
-
-func (n *Node) routesChanged(_ time.Time, _ bool, changes []comfreyvale.Change) {
-	for _, c := range changes {
+func (n *Node) routesChanged(_ time.Time, whole bool, changes comfreyvale.Changes) {
+	for _, c := range changes.Records() {
 		if c.Key() == n.ConfigurationKey && len(c.Value()) > 0 {
 			n.takeRoutes(c)
 		}
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.routesKept.add(changes.Records(), whole, changes.Next())
 }
 
 // takeRoutes takes a configuration that is newer than the one in force.
@@ -65,21 +62,21 @@
 		n.fleet.Away(now)
 		return
 	}
-	n.upstreamsRead = now
 	if since := n.fleet.AwaySince(); !since.IsZero() {
 		n.counters.Reached("upstreams", "back")
 		n.fleet.Returned(now, n.othersReached.After(since))
 	}
 }
 
-func (n *Node) upstreamsChanged(now time.Time, whole bool, changes []comfreyvale.Change) {
+func (n *Node) upstreamsChanged(now time.Time, whole bool, changes comfreyvale.Changes) {
 	n.mu.Lock()
 	changed := false
 	if whole {
-		changed = n.fleet.Replace(now, n.readInstances(changes))
+		changed = n.fleet.Replace(now, n.readInstances(changes.Records()))
 	} else {
-		changed = n.followInstances(now, changes)
+		changed = n.followInstances(now, changes.Records())
 	}
+	n.upstreamsKept.add(changes.Records(), whole, changes.Next())
 	n.mu.Unlock()
 	if changed {
 		n.updateGroups(now)
--- a/io/balancers/cvnode/relay.go
+++ b/io/balancers/cvnode/relay.go
@@ -65,13 +65,25 @@
 	if address == "" {
 		return ""
 	}
-	host, _, err := net.SplitHostPort(address)
-	_, port, ownErr := net.SplitHostPort(n.Settings.Peer())
-	if err != nil || ownErr != nil {
-		n.Logger.WithField("peer", address).Warn("peer's address is invalid")
+	peer, err := n.relayAddress(address)
+	if err != nil {
+		n.Logger.WithField("peer", address).WithError(err).Warn("peer's address is invalid")
 		return ""
 	}
-	return net.JoinHostPort(host, port)
+	return peer
+}
+
+// relayAddress is where a balancer whose news come from an address answers others: ports are the same on all VMs.
+func (n *Node) relayAddress(news string) (string, error) {
+	host, _, err := net.SplitHostPort(news)
+	if err != nil {
+		return "", fail("address", comfreyvale.KindInvalid, err)
+	}
+	_, port, err := net.SplitHostPort(n.Settings.Peer())
+	if err != nil {
+		return "", fail("address", comfreyvale.KindInvalid, err)
+	}
+	return net.JoinHostPort(host, port), nil
 }
 
 // fetch takes over what another balancer knows.
--- a/io/balancers/cvnode/watching.go
+++ b/io/balancers/cvnode/watching.go
@@ -4,63 +4,130 @@
 	"context"
 	"time"
 
+	"comfreyvale"
 	"comfreyvale/core/cvwire"
-	"comfreyvale/io/store/cvwatch"
+	"comfreyvale/io/store/cvshared"
 )
 
 const (
-	// watchers is how many balancers read the directories with short waits, so that one may be lost unnoticed.
-	watchers = 2
-	// watchTask names the watchers' task where balancers share tasks out.
-	watchTask = "watch"
-	// watchedTime is how long ago another balancer may have read the directories to count as watching: a short wait, its
-	// pause, and two whole messages.
-	watchedTime = 3500 * time.Millisecond
-	// superviseTime is the time between two looks whether a long wait must end.
-	superviseTime = 250 * time.Millisecond
-	// missedTime is how long a read may wait although others have read further: the pause that gathers records, and a
-	// message's way.
-	missedTime = 700 * time.Millisecond
+	// readTask names the task of reading the directories, which one balancer of each data centre has.
+	readTask = "read"
+	// readTime is how long ago another balancer may have read the directories to count as their reader: a read's longest
+	// wait, its pause, and two whole messages.
+	readTime = 3500 * time.Millisecond
+	// keptRecords is how many records of each directory are kept for others: some seconds of the busiest changes.
+	keptRecords = 2000
+	// keptBytes bounds the records that are kept of each directory.
+	keptBytes = 4 << 20
+	// routesDirectory and upstreamsDirectory name the directories between balancers.
+	routesDirectory    = "routes"
+	upstreamsDirectory = "upstreams"
 )
 
-// wait is how long this balancer's reads wait for a record. Few balancers read with short waits; the others notice by their
-// news when a read of their own was forgotten.
-func (n *Node) wait() time.Duration {
-	now := time.Now()
-	if _, _, watched := n.news.Watched(now, watchedTime); watched && !n.news.Among(now, watchTask, watchers) {
-		return cvwatch.LongWait
+// kept are the last records of a directory, without gaps.
+type kept struct {
+	first   int64
+	records []comfreyvale.Change
+	bytes   int
+}
+
+// add takes the next records; others than the next begin anew.
+func (k *kept) add(changes []comfreyvale.Change, whole bool, next int64) {
+	if whole || len(changes) > 0 && changes[0].Offset() != k.next() {
+		*k = kept{first: next}
+		if whole {
+			return
+		}
+		k.first = changes[0].Offset()
+	}
+	for _, c := range changes {
+		k.records = append(k.records, c)
+		k.bytes += len(c.Value())
+	}
+	for len(k.records) > keptRecords || k.bytes > keptBytes {
+		k.bytes -= len(k.records[0].Value())
+		k.records = k.records[1:]
+		k.first++
+	}
+}
+
+// next is the offset that follows the records.
+func (k *kept) next() int64 { return k.first + int64(len(k.records)) }
+
+// from returns the records from an offset on, or false when they are not all kept.
+func (k *kept) from(offset int64) ([]comfreyvale.Change, bool) {
+	if offset < k.first || offset > k.next() {
+		return nil, false
 	}
-	return cvwatch.ShortWait
+	return k.records[offset-k.first:], true
 }
 
-// supervise ends long waits that have missed something, or whose balancer has become a watcher.
-func (n *Node) supervise(ctx context.Context) error {
-	ticker := time.NewTicker(superviseTime)
-	defer ticker.Stop()
-	const anyOffset = 1 << 62
-	for {
-		select {
-		case now := <-ticker.C:
-			routes, upstreams, _ := n.news.Watched(now, watchedTime)
-			n.routesWatch.Hurry(now, missedTime, routes)
-			n.upstreamsWatch.Hurry(now, missedTime, upstreams)
-			if longest := n.wait(); longest < cvwatch.LongWait {
-				n.routesWatch.Hurry(now, longest+superviseTime, anyOffset)
-				n.upstreamsWatch.Hurry(now, longest+superviseTime, anyOffset)
+// share returns a directory that one balancer of each data centre reads for all.
+func (n *Node) share(name string, own comfreyvale.Directory, read *time.Time) *cvshared.Directory {
+	return &cvshared.Directory{
+		Own: own, Logger: n.Logger,
+		Reader: func(now time.Time) bool { return n.news.Mine(now, readTask) },
+		Ahead: func(now time.Time, from int64) (string, bool) {
+			routes, upstreams, covered := n.news.Ahead(now, readTime, from, from)
+			if name == routesDirectory {
+				return routes, covered
 			}
-		case <-ctx.Done():
-			return nil
-		}
+			return upstreams, covered
+		},
+		Fetch: func(ctx context.Context, address string, from int64) (comfreyvale.Changes, error) {
+			return n.fetchRecords(ctx, address, name, from)
+		},
+		Read: func(now time.Time) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			*read = now
+		},
 	}
 }
 
+// fetchRecords takes a directory's records from another balancer.
+func (n *Node) fetchRecords(ctx context.Context, address, directory string, from int64) (comfreyvale.Changes, error) {
+	peer, err := n.relayAddress(address)
+	if err != nil {
+		return comfreyvale.Changes{}, err
+	}
+	found, err := n.relays.FetchRecords(ctx, peer, directory, from)
+	if err != nil {
+		return comfreyvale.Changes{}, err
+	}
+	changes := make([]comfreyvale.Change, 0, len(found.GetRecords()))
+	for _, r := range found.GetRecords() {
+		changes = append(changes, comfreyvale.NewChange(r.GetKey(), r.GetValue(), from+int64(len(changes))))
+	}
+	return comfreyvale.NewChanges(changes, from+int64(len(changes))), nil
+}
+
+// records are those of a directory that this balancer keeps for others.
+func (n *Node) records(directory string, from int64) *cvwire.DirectoryRecords {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	k := &n.upstreamsKept
+	if directory == routesDirectory {
+		k = &n.routesKept
+	}
+	found, ok := k.from(from)
+	message := &cvwire.DirectoryRecords{Kept: ok}
+	for _, c := range found {
+		message.Records = append(message.Records, &cvwire.DirectoryRecord{Key: c.Key(), Value: c.Value()})
+	}
+	return message
+}
+
 // tellReading puts into a whole message how far this balancer has read the directories.
 func (n *Node) tellReading(now time.Time, message *cvwire.News) {
-	message.RoutesNext, message.UpstreamsNext = n.routesWatch.Next(), n.upstreamsWatch.Next()
-	message.ReadAgeMs = uint32(n.readAge(now).Milliseconds())
+	age := n.readAge(now)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	message.RoutesNext, message.UpstreamsNext = n.routesKept.next(), n.upstreamsKept.next()
+	message.ReadAgeMs = uint32(age.Milliseconds())
 }
 
-// readAge is how long ago the directory that was read least lately was read, an hour at most.
+// readAge is how long ago this balancer itself read the directory that it read least lately, an hour at most.
 func (n *Node) readAge(now time.Time) time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/io/peers/cvnews/cvnews.go
+++ b/io/peers/cvnews/cvnews.go
@@ -110,18 +110,12 @@
 	return n.neighbours.Mine(now, task)
 }
 
-// Among says whether a task falls to this balancer when so many of all balancers have it.
-func (n *News) Among(now time.Time, task string, count int) bool {
+// Ahead returns balancers that have read past an offset of the routes and of the upstreams, or empty texts. Covered says
+// that some balancer has read the directories itself within a time.
+func (n *News) Ahead(now time.Time, within time.Duration, routes, upstreams int64) (ofRoutes, ofUpstreams string, covered bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.neighbours.Among(now, task, count)
-}
-
-// Watched says whether another balancer has read the directories within a time, and how far the furthest has read.
-func (n *News) Watched(now time.Time, within time.Duration) (routes, upstreams int64, watched bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.neighbours.Watched(now, within)
+	return n.neighbours.Ahead(now, within, routes, upstreams)
 }
 
 // Live are the addresses of the balancers that are there.
--- a/io/peers/cvrelay/cvrelay.go
+++ b/io/peers/cvrelay/cvrelay.go
@@ -18,6 +18,8 @@
 )
 
 const (
+	// recordsPath is where a balancer offers the records that it read of late.
+	recordsPath = "/records"
 	// snapshotPath is where a balancer offers what it knows.
 	snapshotPath = "/snapshot"
 	// fetchTime is how long a fetch may take; other balancers can be asked after it.
@@ -39,17 +41,28 @@
 type Relay struct {
 	// Snapshot returns what this balancer knows, for one that has the configuration of a version.
 	Snapshot func(have int64) *cvwire.Snapshot
+	// Records returns the records of a directory from an offset on that this balancer keeps.
+	Records func(directory string, from int64) *cvwire.DirectoryRecords
 }
 
 // ServeHTTP answers another balancer.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, request *http.Request) {
-	if request.URL.Path != snapshotPath {
+	var message proto.Message
+	values := request.URL.Query()
+	switch request.URL.Path {
+	case snapshotPath:
+		// A version that cannot be read is taken for none, and gets the configuration once too often.
+		have, _ := strconv.ParseInt(values.Get("have"), 10, 64)
+		message = r.Snapshot(have)
+	case recordsPath:
+		// An offset that cannot be read is taken for the first, of which nothing is kept.
+		from, _ := strconv.ParseInt(values.Get("from"), 10, 64)
+		message = r.Records(values.Get("directory"), from)
+	default:
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	// A version that cannot be read is taken for none, and gets the configuration once too often.
-	have, _ := strconv.ParseInt(request.URL.Query().Get("have"), 10, 64)
-	content, err := proto.Marshal(r.Snapshot(have))
+	content, err := proto.Marshal(message)
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
@@ -59,34 +72,57 @@
 	_, _ = w.Write(content)
 }
 
-// query is what a fetch asks for.
-type query struct {
+// snapshotQuery is what a fetch of a snapshot asks for.
+type snapshotQuery struct {
 	Have int64 `url:"have"`
 }
 
+// recordsQuery is what a fetch of records asks for.
+type recordsQuery struct {
+	Directory string `url:"directory"`
+	From      int64  `url:"from"`
+}
+
 // Fetch asks the balancer at host:port for what it knows.
 func (r *Relay) Fetch(ctx context.Context, address string, have int64) (*cvwire.Snapshot, error) {
+	snapshot := &cvwire.Snapshot{}
+	return snapshot, get(ctx, address, snapshotPath, snapshotQuery{Have: have}, snapshot)
+}
+
+// FetchRecords asks the balancer at host:port for the records of a directory from an offset on. Without them the error has KindNotFound.
+func (r *Relay) FetchRecords(ctx context.Context, address, directory string, from int64) (*cvwire.DirectoryRecords, error) {
+	records := &cvwire.DirectoryRecords{}
+	if err := get(ctx, address, recordsPath, recordsQuery{Directory: directory, From: from}, records); err != nil {
+		return nil, err
+	}
+	if !records.GetKept() {
+		return nil, fail("fetch", comfreyvale.KindNotFound, errors.Errorf("records from %d on are not kept there", from))
+	}
+	return records, nil
+}
+
+// get makes one request and reads the message that answers it.
+func get(ctx context.Context, address, path string, query any, message proto.Message) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTime)
 	defer cancel()
-	request, err := sling.New().Base("http://" + address).Get(snapshotPath).QueryStruct(query{Have: have}).Request()
+	request, err := sling.New().Base("http://" + address).Get(path).QueryStruct(query).Request()
 	if err != nil {
-		return nil, fail("fetch", comfreyvale.KindInvalid, err)
+		return fail("fetch", comfreyvale.KindInvalid, err)
 	}
 	response, err := http.DefaultClient.Do(request.WithContext(ctx))
 	if err != nil {
-		return nil, fail("fetch", comfreyvale.KindUnavailable, err)
+		return fail("fetch", comfreyvale.KindUnavailable, err)
 	}
 	defer response.Body.Close()
 	content, err := io.ReadAll(io.LimitReader(response.Body, maxSnapshotBytes))
 	if err != nil {
-		return nil, fail("fetch", comfreyvale.KindUnavailable, err)
+		return fail("fetch", comfreyvale.KindUnavailable, err)
 	}
 	if response.StatusCode != http.StatusOK {
-		return nil, fail("fetch", comfreyvale.KindUnavailable, errors.Errorf("status %d", response.StatusCode))
+		return fail("fetch", comfreyvale.KindUnavailable, errors.Errorf("status %d", response.StatusCode))
 	}
-	snapshot := &cvwire.Snapshot{}
-	if err := proto.Unmarshal(content, snapshot); err != nil {
-		return nil, fail("fetch", comfreyvale.KindInvalid, err)
+	if err := proto.Unmarshal(content, message); err != nil {
+		return fail("fetch", comfreyvale.KindInvalid, err)
 	}
-	return snapshot, nil
+	return nil
 }
--- a/io/store/cvwatch/cvwatch.go
+++ b/io/store/cvwatch/cvwatch.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -15,12 +14,9 @@
 )
 
 const (
-	// ShortWait is how long a read waits for a record while nobody else watches the directory. A read that the service has
-	// forgotten is noticed only when it is overdue, which must be within the three seconds after which everything is
-	// expected to work again.
-	ShortWait = 1800 * time.Millisecond
-	// LongWait is how long a read waits while others watch too, and tell when this one has missed something.
-	LongWait = 15 * time.Second
+	// followWait is how long a read waits for a record. A read that the service has forgotten is noticed only when it is
+	// overdue, which must be within the three seconds after which everything is expected to work again.
+	followWait = 1800 * time.Millisecond
 	// lostFailures is how many readings in a row must fail before the directory counts as out of reach: one may be a
 	// read that the service forgot.
 	lostFailures = 2
@@ -38,20 +34,12 @@
 	// Directory is what is read.
 	Directory comfreyvale.Directory
 	// Changed takes records; whole says that keys which are not among them are gone.
-	Changed func(now time.Time, whole bool, changes []comfreyvale.Change)
+	Changed func(now time.Time, whole bool, changes comfreyvale.Changes)
 	// Reached is told after each reading that succeeded, and when the directory is out of reach.
 	Reached func(now time.Time, ok bool)
-	// Wait is how long a read waits for a record; nil is ShortWait.
-	Wait func() time.Duration
 	// Logger takes a line when the directory is lost and when it is back.
 	Logger log.Interface
 
-	mu      sync.Mutex
-	cancel  context.CancelFunc
-	began   time.Time
-	hurried bool
-	at      int64
-
 	next    int64
 	known   bool
 	failed  int
@@ -82,10 +70,12 @@
 		w.take(changes, true)
 		return nil
 	}
-	changes, err := w.follow(ctx)
-	if w.wasHurried() {
-		return nil
+	wait := followWait
+	if w.failed > 0 {
+		// The first read after an outage only has to show that the directory is back.
+		wait = 0
 	}
+	changes, err := w.Directory.Follow(ctx, w.next, wait)
 	if cvfault.KindOf(err) == comfreyvale.KindNotFound {
 		w.known = false
 		w.Logger.WithField("directory", w.Directory.String()).WithField("from", w.next).Warn("history lost, reading everything")
@@ -98,55 +88,12 @@
 	return nil
 }
 
-// follow makes one read that Hurry can end.
-func (w *Watch) follow(ctx context.Context) (comfreyvale.Changes, error) {
-	wait := time.Duration(ShortWait)
-	if w.Wait != nil {
-		wait = w.Wait()
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	w.mu.Lock()
-	if w.failed > 0 || w.hurried {
-		// The first read after an outage, or after a wait that was ended, only has to show what there is.
-		wait = 0
-	}
-	w.hurried = false
-	w.cancel, w.began, w.at = cancel, time.Now(), w.next
-	w.mu.Unlock()
-	return w.Directory.Follow(ctx, w.next, wait)
-}
-
-func (w *Watch) wasHurried() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.cancel = nil
-	return w.hurried
-}
-
-// Hurry ends a read that has waited for longer than a time, if it waits for a record before an offset, and reads again at once.
-func (w *Watch) Hurry(now time.Time, longer time.Duration, before int64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.cancel != nil && w.at < before && now.Sub(w.began) > longer {
-		w.hurried = true
-		w.cancel()
-	}
-}
-
-// Next is the offset from which the directory is followed.
-func (w *Watch) Next() int64 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.at
-}
-
 func (w *Watch) take(changes comfreyvale.Changes, whole bool) {
 	now := time.Now()
 	w.Reached(now, true)
 	w.next = changes.Next()
 	w.known = true
-	w.Changed(now, whole, changes.Records())
+	w.Changed(now, whole, changes)
 }
 
 // noted keeps account of success and failure, and returns the pause before the next reading.
@@ -158,7 +105,7 @@
 		w.away = false
 		w.failed = 0
 		w.backoff = 0
-		if !w.known || w.hurried {
+		if !w.known {
 			return 0
 		}
 		return settleTime
--- a/io/store/cvwatch/cvwatch_test.go
+++ b/io/store/cvwatch/cvwatch_test.go
@@ -24,14 +24,14 @@
 	reached []bool
 }
 
-func (s *seen) changed(_ time.Time, whole bool, changes []comfreyvale.Change) {
+func (s *seen) changed(_ time.Time, whole bool, changes comfreyvale.Changes) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if whole {
 		s.wholes++
 		s.values = make(map[string]string)
 	}
-	for _, c := range changes {
+	for _, c := range changes.Records() {
 		s.values[c.Key()] = string(c.Value())
 	}
 }
