Serve late rather than refuse while a slot is free and nobody waits

Change: crowded needs others that wait; a free slot that is not expected to be in time is taken in the end; the expected work follows a quantile. Test: TestTakesALateSlotWhenNobodyWaits, three of four cases failed before.

--- a/core/cvadmission/cvadmission.go
+++ b/core/cvadmission/cvadmission.go
@@ -54,36 +54,41 @@
 // Enter grants a slot, lets the request wait, or refuses it. While there is time, a request rather waits than takes an
 // upstream that is not expected to answer on time.
 func (a *Admission) Enter(now time.Time, draw uint64, waiter *cvwaiter.Waiter) Verdict {
-	if len(a.waiting) == 0 && a.grant(now, draw, waiter) {
-		return Granted
+	free := false
+	if len(a.waiting) == 0 {
+		granted := false
+		if granted, free = a.grant(now, draw, waiter); granted {
+			return Granted
+		}
 	}
-	if !a.feasible(now, waiter) {
+	// With a slot free that is not expected to be in time, the request waits for a better one, and takes any in the end.
+	if !free && !a.feasible(now, waiter) {
 		return Refused
 	}
 	a.waiting = append(a.waiting, waiter)
 	return Waiting
 }
 
-// grant gives a request a slot if there is one for it.
-func (a *Admission) grant(now time.Time, draw uint64, waiter *cvwaiter.Waiter) bool {
+// grant gives a request a slot if there is one for it. Free says that there is one, in time or not.
+func (a *Admission) grant(now time.Time, draw uint64, waiter *cvwaiter.Waiter) (granted, free bool) {
 	var instance *cvinstance.Instance
 	last := a.Selector.LastStart(waiter.Need())
 	if now.Before(last.Add(-patienceMargin)) || a.crowded(last.Sub(waiter.Entered())) {
-		instance, _ = a.Selector.PickTimely(now, draw, waiter.Need())
+		instance, free = a.Selector.PickTimely(now, draw, waiter.Need())
 	} else {
-		instance, _ = a.Selector.Pick(now, draw, waiter.Need())
+		instance, free = a.Selector.Pick(now, draw, waiter.Need())
 	}
 	if instance == nil {
-		return false
+		return false, free
 	}
 	waiter.Grant(now, instance)
-	return true
+	return true, true
 }
 
 // crowded says whether so many wait that a late answer would make others late: a try on a slow machine holds its slot
 // far into the time in which the machine is quick again.
 func (a *Admission) crowded(patience time.Duration) bool {
-	return a.Wait() > time.Duration(crowdedShare*float64(patience))
+	return len(a.waiting) > 1 && a.Wait() > time.Duration(crowdedShare*float64(patience))
 }
 
 // feasible says whether a request that enters now can be expected to get a slot before it is hopeless.
@@ -113,7 +118,7 @@
 func (a *Admission) Next(now time.Time, draw uint64) (*cvwaiter.Waiter, bool) {
 	slices.SortStableFunc(a.waiting, compare)
 	for n, w := range a.waiting {
-		if a.grant(now, draw, w) {
+		if granted, _ := a.grant(now, draw, w); granted {
 			a.waiting = slices.Delete(a.waiting, n, n+1)
 			return w, true
 		}
--- a/core/cvadmission/played_test.go
+++ b/core/cvadmission/played_test.go
@@ -286,3 +286,39 @@
 		first = w
 	}
 }
+
+// TestTakesALateSlotWhenNobodyWaits serves a request late rather than refuse it while a slot is free, however long the
+// work is expected to take and however seldom slots come free.
+func TestTakesALateSlotWhenNobodyWaits(t *testing.T) {
+	start := time.Unix(1000, 0)
+	cases := map[string]struct {
+		work     time.Duration
+		slowness float64
+	}{
+		"a slow machine":                      {playedWork, 4},
+		"more work than the target allows":    {2 * playedTarget, 1},
+		"both":                                {2 * playedTarget, 4},
+		"work of nearly the target, and slow": {playedTarget - time.Millisecond, 4},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			selector := &cvselector.Selector{DataCentre: "dc"}
+			selector.Update(start, []*cvinstance.Instance{cvinstance.New("0", "g", "", "dc", 4)})
+			a := &cvadmission.Admission{Selector: selector}
+			a.Freed(start.Add(-10 * time.Second))
+			a.Freed(start)
+			selector.HearReport(start, "0", 0, 0, c.slowness)
+			w := cvwaiter.New(start, cvneed.New(start.Add(playedTarget), start.Add(playedDeadline), 0, false).WithWork(c.work))
+			verdict := a.Enter(start, 1, w)
+			require.NotEqual(t, cvadmission.Refused, verdict)
+			for now := start; verdict == cvadmission.Waiting && now.Before(start.Add(playedTarget)); now = now.Add(10 * time.Millisecond) {
+				selector.HearReport(now, "0", 0, 0, c.slowness)
+				if _, ok := a.Next(now, 1); ok {
+					verdict = cvadmission.Granted
+				}
+				require.Empty(t, a.Hopeless(now))
+			}
+			require.Equal(t, cvadmission.Granted, verdict)
+		})
+	}
+}
--- a/core/cvselector/cvselector.go
+++ b/core/cvselector/cvselector.go
@@ -26,8 +26,11 @@
 	peerLife = 1500 * time.Millisecond
 	// initialWork is expected of a request before any was answered.
 	initialWork = 100 * time.Millisecond
-	// workGain is the weight of one more answer in the average work.
+	// workGain is how far one more answer moves the expected work, as a share of it.
 	workGain = 0.05
+	// workQuantile is the share of answers that are quicker than the expected work: more than half of the machines are of
+	// usual speed at any moment, so that this is about their middle.
+	workQuantile = 0.35
 	// slownessGain is the weight of one more report in the average slowness.
 	slownessGain = 0.05
 	// usableShare is the share of an upstream's slots that are used. Most upstreams turn slow when they are nearly full, by
@@ -151,7 +154,7 @@
 	return taken / float64(max(slots, 1))
 }
 
-// Work is how long a request takes on average on a machine of usual speed.
+// Work is how long a request takes on a machine of usual speed.
 func (s *Selector) Work() time.Duration {
 	if s.work == 0 {
 		return initialWork
@@ -348,20 +351,25 @@
 		m.ejected = false
 		m.ejection = 0
 	}
-	work := float64(took)
-	if m.slowness > 0 {
-		work /= m.slowness
-	}
-	if s.work == 0 {
-		s.work = work
-	}
-	s.work += workGain * (work - s.work)
+	s.learn(float64(took))
 	if m.slowness == 0 {
 		// Without a report, the time taken is the only sign of the machine's speed.
 		m.measured = now
 	}
 }
 
+// learn moves the expected work towards the quantile of a new answer's time.
+func (s *Selector) learn(took float64) {
+	switch {
+	case s.work == 0:
+		s.work = took
+	case took < s.work:
+		s.work -= workGain * (1 - workQuantile) * s.work
+	default:
+		s.work += workGain * workQuantile * s.work
+	}
+}
+
 func (s *Selector) failed(now time.Time, m *member) {
 	m.failures = m.failures*decay(now.Sub(m.failedAt), failureLife)*(1-failureGain) + failureGain
 	m.failedAt = now
