--- a/cmd/comfreyvale/configuration.go
+++ b/cmd/comfreyvale/configuration.go
@@ -29,14 +29,15 @@
 // checkCommand validates files.
 type checkCommand struct {
 	settings string
+	serve    string
 	json     bool
 }
 
 func (*checkCommand) Name() string     { return "check" }
 func (*checkCommand) Synopsis() string { return "check service files and settings" }
 func (*checkCommand) Usage() string {
-	return `check [-settings FILE] [-json] [DIRECTORY...]
-  Checks the service files below the directories together, and a VM's settings file.
+	return `check [-settings FILE] [-serveSettings FILE] [-json] [DIRECTORY...]
+  Checks the service files below the directories together, and the settings file of a VM for run or serve.
   Each problem is a line: file:line:column: field: what is wrong, what is allowed.
   Example: comfreyvale check -settings vm.yaml examples
   Exit status: 0 when all is well, 1 for problems, 2 for wrong usage.
@@ -46,13 +47,14 @@
 // SetFlags defines the command's flags.
 func (c *checkCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.settings, "settings", "", "a VM's settings file")
+	f.StringVar(&c.serve, "serveSettings", "", "a VM's settings file for serve")
 	f.BoolVar(&c.json, "json", false, "print the result as JSON")
 }
 
 // Execute runs the command.
 func (c *checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.settings == "" && f.NArg() == 0 {
-		return usage("check: name a directory or -settings")
+	if c.settings == "" && c.serve == "" && f.NArg() == 0 {
+		return usage("check: name a directory, -settings or -serveSettings")
 	}
 	var problems []string
 	if c.settings != "" {
@@ -60,6 +62,11 @@
 			problems = append(problems, strings.Split(err.Error(), "\n")...)
 		}
 	}
+	if c.serve != "" {
+		if _, err := cvnodesettings.Load(c.serve); err != nil {
+			problems = append(problems, strings.Split(err.Error(), "\n")...)
+		}
+	}
 	services := []string{}
 	if f.NArg() > 0 {
 		files, err := (&cvcollector.Collector{Directories: f.Args()}).Collect()
--- a/cmd/comfreyvale/serve.go
+++ b/cmd/comfreyvale/serve.go
@@ -11,6 +11,7 @@
 	"comfreyvale/io/balancers/cvnode"
 	"comfreyvale/io/operators/cvlines"
 	"comfreyvale/io/operators/cvnodesettings"
+	"comfreyvale/io/operators/cvtracing"
 	"comfreyvale/platform/cvformat"
 	"comfreyvale/platform/cvstore"
 )
@@ -47,6 +48,11 @@
 	if err != nil {
 		return failed(err)
 	}
+	tracing := &cvtracing.Tracing{Endpoint: settings.Traces(), Share: settings.TraceShare(), VM: settings.VM()}
+	tracer, err := tracing.Tracer(ctx)
+	if err != nil {
+		return failed(err)
+	}
 	lines := &cvlines.Lines{Out: os.Stdout}
 	written, stop := context.WithCancel(context.Background())
 	flushed := make(chan error, 1)
@@ -56,9 +62,13 @@
 		Settings: settings, SettingsFile: c.settings, Signs: cvformat.Signs(),
 		Configuration: store.Topic(cvformat.ConfigurationTopic), ConfigurationKey: cvformat.ConfigurationKey, ReadRoutes: cvformat.Routes,
 		Upstreams: store.Topic(cvformat.UpstreamTopic), ReadInstance: cvformat.Instance,
-		Logger: &log.Logger{Handler: lines, Level: log.InfoLevel},
+		Logger: &log.Logger{Handler: lines, Level: log.InfoLevel}, Tracer: tracer,
 	}
 	err = n.Run(ctx)
+	flush, cancel := context.WithTimeout(context.Background(), flushTime)
+	defer cancel()
+	// Spans are a help only; the stop goes on without them.
+	_ = tracing.Close(flush)
 	stop()
 	<-flushed
 	if err != nil {
--- a/io/balancers/cvnode/cvnode.go
+++ b/io/balancers/cvnode/cvnode.go
@@ -11,6 +11,8 @@
 
 	"github.com/apex/log"
 	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 	"golang.org/x/sync/errgroup"
 
 	"comfreyvale"
@@ -70,6 +72,8 @@
 	ReadInstance func(id string, value []byte) (*cvinstance.Instance, error)
 	// Logger takes lines.
 	Logger log.Interface
+	// Tracer makes a span for each hop; nil makes none.
+	Tracer trace.Tracer
 
 	settings atomic.Pointer[cvnodesettings.Settings]
 	routes   atomic.Pointer[cvroutes.Table]
@@ -164,6 +168,9 @@
 
 func (n *Node) build() {
 	n.settings.Store(n.Settings)
+	if n.Tracer == nil {
+		n.Tracer = noop.NewTracerProvider().Tracer("")
+	}
 	n.groups = make(map[string]*cvslots.Slots)
 	n.deaths = make(map[death]time.Time)
 	n.turns = make(map[string]map[string]float64)
--- a/io/balancers/cvnode/cvnode_test.go
+++ b/io/balancers/cvnode/cvnode_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	sdk "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"comfreyvale/io/standins/cvfaulty"
 	"comfreyvale/io/standins/cvmemdirectory"
@@ -350,3 +352,21 @@
 		}
 	}
 }
+
+// TestSpans makes a span for the request and one for each try, below the caller's, and tells the upstream.
+func TestSpans(t *testing.T) {
+	d := newDeployment(t)
+	d.server("a", "g")
+	d.publish(1, safe("g"))
+	spans := tracetest.NewInMemoryExporter()
+	d.tracer = sdk.NewTracerProvider(sdk.WithSyncer(spans)).Tracer("test")
+	n := d.node()
+	n.awaitReady(t)
+	n.serves(t, "/safe/x", http.StatusOK)
+	byName := map[string]int{}
+	for _, s := range spans.GetSpans() {
+		byName[s.Name]++
+	}
+	require.Positive(t, byName["accept"])
+	require.Positive(t, byName["try"])
+}
--- a/io/balancers/cvnode/harness_test.go
+++ b/io/balancers/cvnode/harness_test.go
@@ -16,6 +16,7 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/trace"
 
 	"comfreyvale"
 	"comfreyvale/core/cvgroup"
@@ -136,6 +137,7 @@
 	addresses map[string]string
 	nodes     []*running
 	ports     []int
+	tracer    trace.Tracer
 }
 
 // running is one node.
@@ -202,7 +204,7 @@
 	require.NoError(d.t, err)
 	n := &cvnode.Node{
 		Settings: settings, Signs: signs, Configuration: routes, ConfigurationKey: "routes", ReadRoutes: readRoutes,
-		Upstreams: upstreams, ReadInstance: readInstance, Logger: &log.Logger{Handler: r.lines, Level: log.InfoLevel},
+		Upstreams: upstreams, ReadInstance: readInstance, Logger: &log.Logger{Handler: r.lines, Level: log.InfoLevel}, Tracer: d.tracer,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
--- a/io/balancers/cvnode/request.go
+++ b/io/balancers/cvnode/request.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/apex/log"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
 
 	"comfreyvale"
 	"comfreyvale/core/cvfault"
@@ -90,12 +93,21 @@
 	}
 	e.slots = n.slots(e.group)
 	e.slots.Begin(time.Now())
+	ctx, span := n.accept(ctx, request, id)
 	answer := e.run(ctx)
+	span.SetAttributes(attribute.Int("status", answer.Status()), attribute.String("route", route.Name()))
+	span.End()
 	n.counters.Answered(e.group, answer.Status(), time.Since(arrived))
 	e.log(t.Version(), answer)
 	return answer
 }
 
+// accept starts the span of a request, below the caller's if it sent one.
+func (n *Node) accept(ctx context.Context, request *http.Request, id string) (context.Context, trace.Span) {
+	ctx = propagation.TraceContext{}.Extract(ctx, propagation.HeaderCarrier(request.Header))
+	return n.Tracer.Start(ctx, "accept", trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(attribute.String("requestId", id)))
+}
+
 // timeFor is the shorter of the caller's time and the route's.
 func (n *Node) timeFor(request *http.Request, route *cvroute.Route) time.Duration {
 	limit := defaultTime
--- a/io/balancers/cvnode/tries.go
+++ b/io/balancers/cvnode/tries.go
@@ -7,9 +7,13 @@
 
 	"github.com/apex/log"
 	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
 
 	"comfreyvale"
 	"comfreyvale/core/cvfault"
+	"comfreyvale/core/cvmessage"
 	"comfreyvale/core/cvneed"
 	"comfreyvale/core/cvwaiter"
 	"comfreyvale/io/callers/cvcaller"
@@ -176,8 +180,11 @@
 	go func() {
 		t := &try{waiter: waiter, began: time.Now()}
 		t.evidence = e.evidence(waiter)
-		t.answer, t.err = e.node.pool.Exchange(ctx, waiter.Instance(), e.connections(), e.message, e.deadline, !e.route.Idempotent())
+		ctx, span := e.node.Tracer.Start(ctx, "try", trace.WithSpanKind(trace.SpanKindClient))
+		defer span.End()
+		t.answer, t.err = e.node.pool.Exchange(ctx, waiter.Instance(), e.connections(), e.traced(ctx), e.deadline, !e.route.Idempotent())
 		t.verdict = e.judge(ctx, t.answer, t.err)
+		span.SetAttributes(attribute.String("upstream", waiter.Instance().ID()), attribute.String("outcome", t.verdict.String()))
 		result := t.verdict.result()
 		if ctx.Err() != nil && t.verdict == unsent {
 			// The try was given up while its connection was being opened: that says nothing of the upstream.
@@ -199,6 +206,16 @@
 	}()
 }
 
+// traced is the request as it is sent: with the try's span if it is traced, else as the caller sent it.
+func (e *exchange) traced(ctx context.Context) *cvmessage.Message {
+	if !trace.SpanContextFromContext(ctx).IsSampled() {
+		return e.message
+	}
+	header := e.message.Header().Clone()
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(header))
+	return cvmessage.New(e.message.ID(), e.message.Method(), e.message.Target(), e.message.Host(), header, e.message.Body())
+}
+
 // evidence is what the choice of an upstream rested on.
 func (e *exchange) evidence(waiter *cvwaiter.Waiter) log.Fields {
 	inFlight, age, busy, slowness := e.slots.Evidence(waiter.Began(), waiter.Instance().ID())
--- a/io/operators/cvnodesettings/cvnodesettings.go
+++ b/io/operators/cvnodesettings/cvnodesettings.go
@@ -27,6 +27,8 @@
 	{Path: "peer", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address for the other balancers."},
 	{Path: "news", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address, over UDP, for the news of the other balancers; its port is the same on all VMs."},
 	{Path: "admin", Kind: cvfield.Text, Default: "", Pattern: `|` + addressPattern, Allowed: addressAllowed, Effect: "Address for metrics; without it there are none."},
+	{Path: "traces", Kind: cvfield.Text, Default: "", Pattern: `|https?://[!-~]+`, Allowed: "a URL that begins with http:// or https://", Effect: "OTLP endpoint for traces; none are sent without it."},
+	{Path: "traceShare", Kind: cvfield.Share, Default: "1%", Min: "0%", Max: "100%", Effect: "Share of requests that are traced, where the caller did not decide."},
 	{Path: "seeds", Kind: cvfield.Texts, Default: "", Pattern: addressPattern, Allowed: "a list of addresses", Effect: "Addresses of some other balancers, to meet the others through; their ports do not count."},
 	{Path: "directory", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address of the platform's log service, which holds routes and upstreams."},
 	{Path: "memory", Kind: cvfield.Count, Default: "512", Min: "32", Max: "1000000", Effect: "Memory of this VM in megabytes; bodies and answers in progress take a quarter at most."},
@@ -91,6 +93,12 @@
 // News is the address for the news of the other balancers.
 func (s *Settings) News() string { return s.values.Text("news") }
 
+// Traces is the OTLP endpoint, or empty.
+func (s *Settings) Traces() string { return s.values.Text("traces") }
+
+// TraceShare is the share of requests that are traced.
+func (s *Settings) TraceShare() float64 { return s.values.Share("traceShare") }
+
 // Seeds are the news addresses of some other balancers.
 func (s *Settings) Seeds() []string {
 	_, port, _ := net.SplitHostPort(s.News())
