--- a/io/peers/cvhomes/cvhomes.go
+++ b/io/peers/cvhomes/cvhomes.go
@@ -52,8 +52,10 @@
 	// Logger takes lines for changes of state.
 	Logger log.Interface
 
-	mu          sync.Mutex
+	mu sync.Mutex
+	// ctx ends with Run; what a view starts before Run ends with it too.
 	ctx         context.Context
+	cancel      context.CancelFunc
 	view        *cvview.View
 	incarnation string
 	homes       []string
@@ -77,8 +79,8 @@
 func (h *Homes) Run(ctx context.Context) error {
 	h.mu.Lock()
 	h.init()
-	h.ctx = ctx
 	h.mu.Unlock()
+	defer h.cancel()
 	ticker := time.NewTicker(gapTime)
 	defer ticker.Stop()
 	for {
@@ -103,9 +105,7 @@
 	h.view = cvview.New(0, nil, nil)
 	h.home = &cvhome.Home{}
 	h.wake = make(chan struct{}, 1)
-	if h.ctx == nil {
-		h.ctx = context.Background()
-	}
+	h.ctx, h.cancel = context.WithCancel(context.Background())
 }
 
 // Claim asks a key's home for a grant, and asks again while the home changes and the context allows.
--- a/io/peers/cvhomes/cvhomes_test.go
+++ b/io/peers/cvhomes/cvhomes_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
 
 	"comfreyvale/core/cvview"
 	"comfreyvale/core/cvwire"
@@ -63,3 +64,17 @@
 func contains(names []string, name string) bool {
 	return strings.Contains(" "+strings.Join(names, " ")+" ", " "+name+" ")
 }
+
+// TestViewBeforeRun takes a view before it runs, as a balancer may whose roster is read first: what that starts ends with Run.
+func TestViewBeforeRun(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	h := &cvhomes.Homes{
+		Process: "self", Log: &cvmemlog.Log{}, Peers: &cvpeers.Peers{Process: "self"}, Metrics: cvmetrics.New(),
+		Logger:        (&cvlogger.Logger{Out: io.Discard}).New(),
+		LongestWindow: func() time.Duration { return time.Minute }, Resign: func(context.Context, string) {},
+	}
+	h.SetView(cvview.New(1, members("self"), nil), "self")
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.NoError(t, h.Run(ctx))
+}
