--- a/io/balancers/cvnode/request.go
+++ b/io/balancers/cvnode/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -32,8 +33,9 @@
 	// firstReturn and lastReturn bound the time after which a refused caller is asked to come back.
 	firstReturn = 30 * time.Millisecond
 	lastReturn  = time.Second
-	// connectionShare is the part of an upstream's connections that one balancer opens.
-	connectionShare = 8
+	// leastSharers is among how many balancers an upstream's connections are shared out at least, so that some are left
+	// for balancers that are not heard.
+	leastSharers = 8
 )
 
 // exchange is one request's way through this balancer.
@@ -49,8 +51,8 @@
 	tried    []string
 	ran      bool
 	last     comfreyvale.Answer
-	// lastEvidence is what the choice of the last upstream rested on.
-	lastEvidence log.Fields
+	// lastTry is the try that ended last, nil before one did.
+	lastTry *try
 	// cause and reason say why no further upstream is tried.
 	cause  comfreyvale.Cause
 	reason string
@@ -212,13 +214,14 @@
 
 // log writes the line of a request's end.
 func (e *exchange) log(version int64, answer comfreyvale.Answer) {
-	upstream := ""
-	if len(e.tried) > 0 {
-		upstream = e.tried[len(e.tried)-1]
-	}
-	e.node.Logger.WithFields(e.lastEvidence).WithFields(log.Fields{
-		"request": e.message.ID(), "route": e.route.Name(), "group": e.group, "version": version, "upstream": upstream,
+	fields := log.Fields{
+		"request": e.message.ID(), "route": e.route.Name(), "group": e.group, "version": version,
 		"tries": len(e.tried), "status": answer.Status(), "tookMs": time.Since(e.arrived).Milliseconds(),
 		"leftMs": time.Until(e.deadline).Milliseconds(), "load": answer.Header().Get(e.node.Signs.Load),
-	}).Info("request")
+	}
+	if e.lastTry != nil {
+		maps.Copy(fields, e.lastTry.evidence)
+		fields["upstream"] = e.lastTry.upstream()
+	}
+	e.node.Logger.WithFields(fields).Info("request")
 }
--- a/io/balancers/cvnode/tries.go
+++ b/io/balancers/cvnode/tries.go
@@ -115,6 +115,9 @@
 	err      error
 }
 
+// upstream is the id of the upstream that was tried.
+func (t *try) upstream() string { return t.waiter.Instance().ID() }
+
 // run tries upstreams until there is an answer, or none can be had. A request that may run more than once is sent to a
 // second one when the first takes long; what comes first counts.
 func (e *exchange) run(ctx context.Context) comfreyvale.Answer {
@@ -134,7 +137,7 @@
 			}
 		case t := <-ended:
 			open--
-			e.lastEvidence = t.evidence
+			e.lastTry = t
 			if t.verdict == answered {
 				return t.answer
 			}
@@ -174,36 +177,44 @@
 	return nil
 }
 
-// start runs a try in the background. Its slot is free again before its end is told.
+// start runs a try in the background.
 func (e *exchange) start(ctx context.Context, waiter *cvwaiter.Waiter, ended chan<- *try) {
 	e.tried = append(e.tried, waiter.Instance().ID())
-	go func() {
-		t := &try{waiter: waiter, began: time.Now()}
-		t.evidence = e.evidence(waiter)
-		ctx, span := e.node.Tracer.Start(ctx, "try", trace.WithSpanKind(trace.SpanKindClient))
-		defer span.End()
-		t.answer, t.err = e.node.pool.Exchange(ctx, waiter.Instance(), e.connections(), e.traced(ctx), e.deadline, !e.route.Idempotent())
-		t.verdict = e.judge(ctx, t.answer, t.err)
-		span.SetAttributes(attribute.String("upstream", waiter.Instance().ID()), attribute.String("outcome", t.verdict.String()))
-		result := t.verdict.result()
-		if ctx.Err() != nil && t.verdict == unsent {
-			// The try was given up while its connection was being opened: that says nothing of the upstream.
-			result = comfreyvale.ResultCancelled
-		}
-		e.slots.Release(waiter, result)
-		e.report(waiter.Instance().ID(), t.verdict, t.answer)
-		e.node.counters.Tried(e.group, t.verdict.String())
-		if t.verdict == answered || t.verdict == expired {
-			e.slots.Took(time.Now(), e.route.Name(), time.Since(t.began))
-		}
-		switch t.verdict {
-		case broken:
-			go e.node.suspect(waiter.Instance(), e.message)
-		case answered:
-			e.node.settled(time.Now(), e.message)
-		}
-		ended <- t
-	}()
+	go func() { ended <- e.try(ctx, waiter) }()
+}
+
+// try sends the request to an upstream. The slot is free again before it returns.
+func (e *exchange) try(ctx context.Context, waiter *cvwaiter.Waiter) *try {
+	t := &try{waiter: waiter, began: time.Now(), evidence: e.evidence(waiter)}
+	ctx, span := e.node.Tracer.Start(ctx, "try", trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
+	t.answer, t.err = e.node.pool.Exchange(ctx, waiter.Instance(), e.connections(), e.traced(ctx), e.deadline, !e.route.Idempotent())
+	t.verdict = e.judge(ctx, t.answer, t.err)
+	span.SetAttributes(attribute.String("upstream", t.upstream()), attribute.String("outcome", t.verdict.String()))
+	result := t.verdict.result()
+	if ctx.Err() != nil && t.verdict == unsent {
+		// The try was given up while its connection was being opened: that says nothing of the upstream.
+		result = comfreyvale.ResultCancelled
+	}
+	e.slots.Release(waiter, result)
+	e.learn(t)
+	return t
+}
+
+// learn hands on what a try showed of its upstream and of its request.
+func (e *exchange) learn(t *try) {
+	now := time.Now()
+	e.report(t.upstream(), t.verdict, t.answer)
+	e.node.counters.Tried(e.group, t.verdict.String())
+	switch t.verdict {
+	case answered:
+		e.slots.Took(now, e.route.Name(), now.Sub(t.began))
+		e.node.settled(now, e.message)
+	case expired:
+		e.slots.Took(now, e.route.Name(), now.Sub(t.began))
+	case broken:
+		go e.node.suspect(t.waiter.Instance(), e.message)
+	}
 }
 
 // traced is the request as it is sent: with the try's span if it is traced, else as the caller sent it.
@@ -254,12 +265,13 @@
 	return true
 }
 
+// connections is how many connections this balancer opens to one upstream of the group: its share of what the upstream takes.
 func (e *exchange) connections() int {
 	t := e.node.routes.Load()
 	if g, ok := t.Group(e.group); ok && g.Connections() > 0 {
-		return max(g.Connections()/connectionShare, 1)
+		return max(g.Connections()/max(leastSharers, e.node.news.Sharers()), 1)
 	}
-	return connectionShare
+	return leastSharers
 }
 
 // report hands the load that came with an answer to the decisions.
@@ -278,7 +290,7 @@
 // note logs a try that brought no answer.
 func (e *exchange) note(t *try) {
 	entry := e.node.Logger.WithFields(t.evidence).WithFields(log.Fields{
-		"request": e.message.ID(), "route": e.route.Name(), "upstream": t.waiter.Instance().ID(), "try": len(e.tried),
+		"request": e.message.ID(), "route": e.route.Name(), "upstream": t.upstream(), "try": len(e.tried),
 		"outcome": t.verdict.String(), "tookMs": time.Since(t.began).Milliseconds(), "status": t.answer.Status(),
 	})
 	if t.err != nil {
--- a/io/peers/cvnews/cvnews.go
+++ b/io/peers/cvnews/cvnews.go
@@ -26,9 +26,9 @@
 	// farInterval is the shortest time between two messages of changes to other data centres, whose bytes are dear.
 	farInterval = 100 * time.Millisecond
 	// nearCost and farCost lengthen these times for each balancer that hears them, so that what one balancer hears costs
-	// it less than 2.6% of a core however many there are: 250 and 100 messages a second at some 50 microseconds.
-	nearCost = 4 * time.Millisecond
-	farCost  = 10 * time.Millisecond
+	// it a bounded part of a core however many there are: some 670 and 250 messages a second at 20 microseconds each.
+	nearCost = 1500 * time.Microsecond
+	farCost  = 4 * time.Millisecond
 	// wholeInterval is the time between two whole messages; four may be lost before a balancer counts as gone.
 	wholeInterval = 500 * time.Millisecond
 	// toldPeers is how many addresses of others a whole message names.
