--- a/cmd/comfreyvale/serve.go
+++ b/cmd/comfreyvale/serve.go
@@ -4,6 +4,8 @@
 	"context"
 	"flag"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/apex/log"
 	"github.com/google/subcommands"
@@ -44,6 +46,8 @@
 
 // Execute runs the command.
 func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	// Until the settings are watched, the signal to read them again must not end the process; a change is noticed without it.
+	signal.Ignore(syscall.SIGHUP)
 	settings, err := cvnodesettings.Load(c.settings)
 	if err != nil {
 		return failed(err)
--- a/io/balancers/cvnode/harness_test.go
+++ b/io/balancers/cvnode/harness_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -138,6 +139,8 @@
 	nodes     []*running
 	ports     []int
 	tracer    trace.Tracer
+	// settingsFile is where a node's settings are written, if it is to read them again.
+	settingsFile string
 }
 
 // running is one node.
@@ -202,8 +205,11 @@
 		"terms:\n  stop: 6s\n  notice: 100ms\n  retryRatio: 0.2\n  retrySlack: 240\n", index, r.address, r.ready, at(index, 2), at(index, 3), at(0, 2))
 	settings, err := cvnodesettings.Parse("test", []byte(text))
 	require.NoError(d.t, err)
+	if d.settingsFile != "" {
+		require.NoError(d.t, os.WriteFile(d.settingsFile, []byte(text), 0o600))
+	}
 	n := &cvnode.Node{
-		Settings: settings, Signs: signs, Configuration: routes, ConfigurationKey: "routes", ReadRoutes: readRoutes,
+		Settings: settings, SettingsFile: d.settingsFile, Signs: signs, Configuration: routes, ConfigurationKey: "routes", ReadRoutes: readRoutes,
 		Upstreams: upstreams, ReadInstance: readInstance, Logger: &log.Logger{Handler: r.lines, Level: log.InfoLevel}, Tracer: d.tracer,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/io/balancers/cvnode/reload_test.go
@@ -0,0 +1,58 @@
+package cvnode_test
+
+import (
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// count is how many lines bear a message.
+func (l *lines) count(message string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, e := range l.all {
+		if strings.HasPrefix(e.Message, message) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestReload goes on through SIGHUP, takes in a file that changes with and without it, and keeps the last good settings
+// when the file is bad.
+func TestReload(t *testing.T) {
+	d := newDeployment(t)
+	d.settingsFile = filepath.Join(t.TempDir(), "settings.yaml")
+	d.server("a", "g")
+	d.publish(1, safe("g"))
+	n := d.node()
+	n.awaitReady(t)
+	good, err := os.ReadFile(d.settingsFile)
+	require.NoError(t, err)
+	cases := []struct {
+		name, content, message string
+		signal                 bool
+	}{
+		{"the signal alone", string(good), "settings reloaded, nothing has changed", true},
+		{"changed, with the signal", string(good) + "traceShare: 2%\n", "settings reloaded", true},
+		{"changed, without it", string(good) + "traceShare: 3%\n", "settings reloaded", false},
+		{"bad", "vm: [", "settings are invalid", true},
+		{"good again", string(good), "settings reloaded", true},
+	}
+	for _, c := range cases {
+		before := n.lines.count(c.message)
+		require.NoError(t, os.WriteFile(d.settingsFile, []byte(c.content), 0o600))
+		if c.signal {
+			require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+		}
+		require.Eventually(t, func() bool { return n.lines.count(c.message) > before }, 30*time.Second, time.Millisecond, c.name)
+		n.serves(t, "/safe/x", http.StatusOK)
+	}
+}
