Merge what stood twice in this change, and drop what did nothing

Found by reading the whole change again; what callers, operators and the platform see stays as it is. Twins made one: the settings files of run and serve share their loading, their addresses and seven accessors (cvvmsettings); host names (cvhost, from cvroutes and cvgateway); the tracing around run and serve (traced); writing headers, twice by hand, is http.Header.WriteSubset. Dead: an assignment in the selector that nothing read; a wrapper of one call. Wrong place: the name of the platform's environment variable moves to platform/. Ruled out: one policy for cvpicker and cvselector, and one way for a request of run and serve, as both change behaviour; the terms drain, apply and stable, which nothing reads, as files that hold them would be refused.

--- a/cmd/comfreyvale/run.go
+++ b/cmd/comfreyvale/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/subcommands"
+	"go.opentelemetry.io/otel/trace"
 
 	"comfreyvale"
 	"comfreyvale/core/cvfault"
@@ -50,18 +51,25 @@
 		return failed(err)
 	}
 	tracing := &cvtracing.Tracing{Endpoint: settings.Traces(), Share: settings.TraceShare(), VM: settings.VM()}
+	return traced(ctx, tracing, func(tracer trace.Tracer) error {
+		b := &cvbalancer.Balancer{
+			Settings: settings,
+			Log:      &cvhttplog.Log{Address: settings.LogAddress()},
+			VMList:   &cvlisting.List{Address: settings.VMListAddress()},
+			Logger:   (&cvlogger.Logger{Out: os.Stderr, JSON: true}).New(),
+			Tracer:   tracer,
+		}
+		return b.Run(ctx)
+	})
+}
+
+// traced runs a balancer with a source of spans, and sends the last spans when it has ended.
+func traced(ctx context.Context, tracing *cvtracing.Tracing, run func(tracer trace.Tracer) error) subcommands.ExitStatus {
 	tracer, err := tracing.Tracer(ctx)
 	if err != nil {
 		return failed(err)
 	}
-	b := &cvbalancer.Balancer{
-		Settings: settings,
-		Log:      &cvhttplog.Log{Address: settings.LogAddress()},
-		VMList:   &cvlisting.List{Address: settings.VMListAddress()},
-		Logger:   (&cvlogger.Logger{Out: os.Stderr, JSON: true}).New(),
-		Tracer:   tracer,
-	}
-	err = b.Run(ctx)
+	err = run(tracer)
 	flush, cancel := context.WithTimeout(context.Background(), flushTime)
 	defer cancel()
 	// Spans are a help only; the stop goes on without them.
--- a/cmd/comfreyvale/serve.go
+++ b/cmd/comfreyvale/serve.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/apex/log"
 	"github.com/google/subcommands"
+	"go.opentelemetry.io/otel/trace"
 
 	"comfreyvale/io/balancers/cvnode"
 	"comfreyvale/io/operators/cvlines"
@@ -18,9 +20,6 @@
 	"comfreyvale/platform/cvstore"
 )
 
-// settingsVariable names the environment variable that holds the path of the settings file.
-const settingsVariable = "COMFREYVALE_BOOT"
-
 // serveCommand runs a balancer whose routes and upstreams come from the platform's directory.
 type serveCommand struct {
 	settings string
@@ -31,17 +30,17 @@
 	return "run one balancer process for the routes in the platform's directory"
 }
 func (*serveCommand) Usage() string {
-	return `serve [-settings FILE]
+	return fmt.Sprintf(`serve [-settings FILE]
   Runs the balancer of one entry VM until SIGTERM, then stops without cutting requests.
-  The settings file is by default the one that COMFREYVALE_BOOT names.
+  The settings file is by default the one that the environment variable %s names.
   Example: comfreyvale serve -settings /etc/comfreyvale/node.yaml
   Exit status: 0 after a planned stop, 1 after a failure, 2 for wrong usage.
-`
+`, cvformat.SettingsVariable)
 }
 
 // SetFlags defines the command's flags.
 func (c *serveCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.settings, "settings", os.Getenv(settingsVariable), "the VM's settings file")
+	f.StringVar(&c.settings, "settings", os.Getenv(cvformat.SettingsVariable), "the VM's settings file")
 }
 
 // Execute runs the command.
@@ -53,10 +52,11 @@
 		return failed(err)
 	}
 	tracing := &cvtracing.Tracing{Endpoint: settings.Traces(), Share: settings.TraceShare(), VM: settings.VM()}
-	tracer, err := tracing.Tracer(ctx)
-	if err != nil {
-		return failed(err)
-	}
+	return traced(ctx, tracing, func(tracer trace.Tracer) error { return c.serve(ctx, settings, tracer) })
+}
+
+// serve runs the node, and writes its last lines before it returns.
+func (c *serveCommand) serve(ctx context.Context, settings *cvnodesettings.Settings, tracer trace.Tracer) error {
 	lines := &cvlines.Lines{Out: os.Stdout}
 	written, stop := context.WithCancel(context.Background())
 	flushed := make(chan error, 1)
@@ -68,15 +68,8 @@
 		Upstreams: store.Topic(cvformat.UpstreamTopic), ReadInstance: cvformat.Instance,
 		Logger: &log.Logger{Handler: lines, Level: log.InfoLevel}, Tracer: tracer,
 	}
-	err = n.Run(ctx)
-	flush, cancel := context.WithTimeout(context.Background(), flushTime)
-	defer cancel()
-	// Spans are a help only; the stop goes on without them.
-	_ = tracing.Close(flush)
+	err := n.Run(ctx)
 	stop()
 	<-flushed
-	if err != nil {
-		return failed(err)
-	}
-	return subcommands.ExitSuccess
+	return err
 }
--- a/core/cvfleet/cvfleet.go
+++ b/core/cvfleet/cvfleet.go
@@ -119,12 +119,15 @@
 // Returned says that the directory can be read again. Alone says that others could read it all the while: upstreams could
 // report, and what is gone has left.
 func (f *Fleet) Returned(now time.Time, alone bool) {
-	if !f.away.IsZero() && !alone && now.Sub(f.away) >= lapseTime {
+	if f.IsAway() && !alone && now.Sub(f.away) >= lapseTime {
 		f.returned = now
 	}
 	f.away = time.Time{}
 }
 
+// IsAway says whether the directory cannot be read.
+func (f *Fleet) IsAway() bool { return !f.away.IsZero() }
+
 // AwaySince is when the directory could not be read any more, or zero.
 func (f *Fleet) AwaySince() time.Time { return f.away }
 
--- a/core/cvroutes/cvroutes.go
+++ b/core/cvroutes/cvroutes.go
@@ -3,11 +3,11 @@
 
 import (
 	"cmp"
-	"net"
 	"slices"
 	"strings"
 
 	"comfreyvale/core/cvgroup"
+	"comfreyvale/core/cvhost"
 	"comfreyvale/core/cvlimits"
 	"comfreyvale/core/cvroute"
 )
@@ -60,17 +60,10 @@
 
 // Match returns the route of the host with the longest prefix that begins the path, or false. The host may carry a port.
 func (t *Table) Match(host, path string) (*cvroute.Route, bool) {
-	for _, r := range t.byHost[hostName(host)] {
+	for _, r := range t.byHost[cvhost.Name(host)] {
 		if strings.HasPrefix(path, r.Prefix()) {
 			return r, true
 		}
 	}
 	return nil, false
 }
-
-func hostName(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	return strings.ToLower(host)
-}
--- a/core/cvselector/cvselector.go
+++ b/core/cvselector/cvselector.go
@@ -187,18 +187,18 @@
 
 // expected is the time, in nanoseconds, that one more request is expected to take.
 func (s *Selector) expected(now time.Time, m *member, need cvneed.Need) float64 {
-	time := float64(s.workOf(need)) * s.slownessOf(now, m)
+	took := float64(s.workOf(need)) * s.slownessOf(now, m)
 	if now.Before(m.warmUntil) {
-		time *= warmUpCost
+		took *= warmUpCost
 	}
-	time *= 1 + failureCost*m.failures*decay(now.Sub(m.failedAt), failureLife)
+	took *= 1 + failureCost*m.failures*decay(now.Sub(m.failedAt), failureLife)
 	if m.instance.DataCentre() == s.DataCentre {
-		return time
+		return took
 	}
 	if need.Large() {
-		return time + float64(largeRemoteCost)
+		return took + float64(largeRemoteCost)
 	}
-	return time + float64(remoteCost)
+	return took + float64(remoteCost)
 }
 
 // slownessOf is the slowness expected of an upstream's machine: its last report, drawn towards the average as it ages,
@@ -245,10 +245,6 @@
 		m.ejection = 0
 	}
 	s.learn(float64(took))
-	if m.slowness == 0 {
-		// Without a report, the time taken is the only sign of the machine's speed.
-		m.measured = now
-	}
 }
 
 // learn moves the expected work towards the quantile of a new answer's time.
--- a/io/balancers/cvnode/admin.go
+++ b/io/balancers/cvnode/admin.go
@@ -40,10 +40,10 @@
 		"directory_away": {"1 while the directory of upstreams cannot be read.", func() float64 {
 			n.mu.Lock()
 			defer n.mu.Unlock()
-			if n.fleet.AwaySince().IsZero() {
-				return 0
+			if n.fleet.IsAway() {
+				return 1
 			}
-			return 1
+			return 0
 		}},
 		"quarantined_requests": {"Requests that are refused because upstreams crashed on them.", func() float64 {
 			n.mu.Lock()
--- a/io/balancers/cvnode/cvnode.go
+++ b/io/balancers/cvnode/cvnode.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -225,12 +226,9 @@
 	}
 }
 
-func (n *Node) allSlots() []*cvslots.Slots {
+// allSlots returns the decisions about all groups.
+func (n *Node) allSlots() map[string]*cvslots.Slots {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	found := make([]*cvslots.Slots, 0, len(n.groups))
-	for _, s := range n.groups {
-		found = append(found, s)
-	}
-	return found
+	return maps.Clone(n.groups)
 }
--- a/io/balancers/cvnode/directories.go
+++ b/io/balancers/cvnode/directories.go
@@ -62,9 +62,9 @@
 		n.fleet.Away(now)
 		return
 	}
-	if since := n.fleet.AwaySince(); !since.IsZero() {
+	if n.fleet.IsAway() {
 		n.counters.Reached("upstreams", "back")
-		n.fleet.Returned(now, n.othersReached.After(since))
+		n.fleet.Returned(now, n.othersReached.After(n.fleet.AwaySince()))
 	}
 }
 
@@ -181,14 +181,17 @@
 func (n *Node) sweep(now time.Time) {
 	n.mu.Lock()
 	expired := n.fleet.Expire(now)
-	wanted := make(map[string]bool)
-	for _, i := range n.fleet.Instances() {
-		wanted[i.ID()] = true
-	}
 	n.mu.Unlock()
 	if expired {
 		n.updateGroups(now)
 	}
 	n.forgetDeaths(now)
-	n.pool.Retain(now, func(id string) bool { return wanted[id] })
+	n.mu.Lock()
+	// The map is replaced as a whole and never changed.
+	known := n.known
+	n.mu.Unlock()
+	n.pool.Retain(now, func(id string) bool {
+		_, wanted := known[id]
+		return wanted
+	})
 }
--- a/io/balancers/cvnode/probes.go
+++ b/io/balancers/cvnode/probes.go
@@ -40,13 +40,7 @@
 	if t == nil || n.stopping.Load() || n.terms().ProbesPerSecond() <= 1/probeAge.Seconds() {
 		return
 	}
-	n.mu.Lock()
-	groups := make(map[string]*cvslots.Slots, len(n.groups))
-	for name, s := range n.groups {
-		groups[name] = s
-	}
-	n.mu.Unlock()
-	for name, s := range groups {
+	for name, s := range n.allSlots() {
 		g, ok := t.Group(name)
 		if !ok {
 			continue
--- a/io/balancers/cvnode/relay.go
+++ b/io/balancers/cvnode/relay.go
@@ -21,7 +21,7 @@
 func (n *Node) snapshot(have int64) *cvwire.Snapshot {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	s := &cvwire.Snapshot{DirectoryAway: !n.fleet.AwaySince().IsZero()}
+	s := &cvwire.Snapshot{DirectoryAway: n.fleet.IsAway()}
 	if t := n.routes.Load(); t != nil {
 		s.Version = t.Version()
 		if t.Version() > have {
@@ -52,7 +52,7 @@
 // configuration, or any if this one knows nothing. It is empty when nobody can help.
 func (n *Node) helper() string {
 	n.mu.Lock()
-	away, empty := !n.fleet.AwaySince().IsZero(), len(n.fleet.Instances()) == 0
+	away, empty := n.fleet.IsAway(), len(n.fleet.Instances()) == 0
 	n.mu.Unlock()
 	t := n.routes.Load()
 	address, version := n.news.Newest()
@@ -107,7 +107,7 @@
 // takeEntries takes over the instances that another balancer knows. Only one that can read the directory knows who is gone.
 func (n *Node) takeEntries(now time.Time, s *cvwire.Snapshot) {
 	n.mu.Lock()
-	if n.fleet.AwaySince().IsZero() && len(n.fleet.Instances()) > 0 {
+	if !n.fleet.IsAway() && len(n.fleet.Instances()) > 0 {
 		n.mu.Unlock()
 		return
 	}
--- a/io/balancers/cvnode/tries.go
+++ b/io/balancers/cvnode/tries.go
@@ -127,11 +127,10 @@
 	if err := e.send(ctx, ended); err != nil {
 		return e.noSlot(err)
 	}
-	hedge := e.hedgeTimer()
-	defer hedge.Stop()
+	hedge := e.hedgeTime()
 	for open := 1; ; {
 		select {
-		case <-hedge.C:
+		case <-hedge:
 			if e.hedge(ctx, ended) {
 				open++
 			}
@@ -236,20 +235,16 @@
 	}
 }
 
-// hedgeTimer fires when the first try takes longer than most, or never.
-func (e *exchange) hedgeTimer() *time.Timer {
-	after := time.Duration(-1)
-	if e.route.Idempotent() && e.route.Attempts() > 1 {
-		if usual, ok := e.slots.Usual(time.Now(), e.route.Name(), hedgeQuantile); ok {
-			after = usual
-		}
+// hedgeTime comes when the first try takes longer than most; a nil channel never does.
+func (e *exchange) hedgeTime() <-chan time.Time {
+	if !e.route.Idempotent() || e.route.Attempts() <= 1 {
+		return nil
 	}
-	if after < 0 {
-		t := time.NewTimer(time.Hour)
-		t.Stop()
-		return t
+	usual, ok := e.slots.Usual(time.Now(), e.route.Name(), hedgeQuantile)
+	if !ok {
+		return nil
 	}
-	return time.NewTimer(after)
+	return time.After(usual)
 }
 
 // hedge sends the request to a second upstream beside the first, if a slot is free and the budget allows it.
--- a/io/callers/cvcaller/request.go
+++ b/io/callers/cvcaller/request.go
@@ -117,7 +117,7 @@
 // awaitHead waits until a whole head is in the buffer and checks what the parser would let pass.
 func (c *connection) awaitHead(limit int) *refused {
 	if c.reader.Size() < limit+headSlack {
-		c.reader = newReader(c.reader, limit+headSlack)
+		c.reader = bufio.NewReaderSize(c.reader, limit+headSlack)
 	}
 	for {
 		head, _ := c.reader.Peek(c.reader.Buffered())
@@ -175,18 +175,15 @@
 	return nil
 }
 
+// framing are the headers of an answer that concern its connection; head writes those of this one.
+var framing = map[string]bool{"Content-Length": true, "Transfer-Encoding": true, "Connection": true, "Keep-Alive": true}
+
 // head renders the status line and the header of an answer.
 func head(answer comfreyvale.Answer, last bool) []byte {
 	var b bytes.Buffer
 	b.WriteString("HTTP/1.1 " + strconv.Itoa(answer.Status()) + " " + http.StatusText(answer.Status()) + "\r\n")
-	for name, values := range answer.Header() {
-		if name == "Content-Length" || name == "Transfer-Encoding" || name == "Connection" || name == "Keep-Alive" {
-			continue
-		}
-		for _, v := range values {
-			b.WriteString(name + ": " + v + "\r\n")
-		}
-	}
+	// A buffer takes all that is written to it.
+	_ = answer.Header().WriteSubset(&b, framing)
 	if answer.Status() != http.StatusNoContent && answer.Status() != http.StatusNotModified {
 		b.WriteString("Content-Length: " + strconv.Itoa(contentLength(answer)) + "\r\n")
 	}
@@ -204,5 +201,3 @@
 	}
 	return len(answer.Body())
 }
-
-func newReader(old io.Reader, size int) *bufio.Reader { return bufio.NewReaderSize(old, size) }
--- a/io/callers/cvgateway/cvgateway.go
+++ b/io/callers/cvgateway/cvgateway.go
@@ -9,10 +9,8 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +20,7 @@
 
 	"comfreyvale"
 	"comfreyvale/core/cvcall"
+	"comfreyvale/core/cvhost"
 	"comfreyvale/core/cvrefusal"
 	"comfreyvale/core/cvservice"
 	"comfreyvale/io/callers/cvheader"
@@ -120,9 +119,9 @@
 	if e.r.Method == http.MethodConnect {
 		return cvrefusal.New(comfreyvale.CauseUpgrade, comfreyvale.RanNo, "tunnels are not offered")
 	}
-	service, dispatcher, cause := e.gateway.Find(hostName(e.r.Host), e.r.URL.Path)
+	service, dispatcher, cause := e.gateway.Find(cvhost.Name(e.r.Host), e.r.URL.Path)
 	if service == nil {
-		return cvrefusal.New(cause, comfreyvale.RanNo, "no service takes host "+hostName(e.r.Host)+" and this path")
+		return cvrefusal.New(cause, comfreyvale.RanNo, "no service takes host "+cvhost.Name(e.r.Host)+" and this path")
 	}
 	e.service = service
 	e.dispatcher = dispatcher
@@ -147,13 +146,6 @@
 	return e.runOnce(ctx)
 }
 
-func hostName(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	return strings.ToLower(host)
-}
-
 // timeout is the time for the call: the class's, or the caller's where that is shorter.
 func (e *exchange) timeout(longest time.Duration) time.Duration {
 	ms, err := strconv.ParseInt(e.r.Header.Get(cvheader.Timeout), 10, 32)
--- a/io/operators/cvnodesettings/cvnodesettings.go
+++ b/io/operators/cvnodesettings/cvnodesettings.go
@@ -3,34 +3,26 @@
 
 import (
 	"net"
-	"os"
 
-	"comfreyvale"
-	"comfreyvale/core/cvfault"
 	"comfreyvale/core/cvfield"
 	"comfreyvale/core/cvschema"
 	"comfreyvale/core/cvterms"
-	"comfreyvale/core/cvvalues"
-)
-
-const (
-	addressPattern = `(\[[0-9a-f:]+\]|[0-9]{1,3}(\.[0-9]{1,3}){3}):[0-9]{1,5}`
-	addressAllowed = "an IP number and a port, like 10.0.0.1:8080"
+	"comfreyvale/io/operators/cvvmsettings"
 )
 
 // schema lists the fields of a settings file.
 var schema = cvschema.New([]cvfield.Field{
 	{Path: "vm", Kind: cvfield.Text, Required: true, Pattern: `[!-~]{1,100}`, Allowed: "1 to 100 visible characters", Effect: "Names this VM."},
 	{Path: "dataCentre", Kind: cvfield.Text, Required: true, Pattern: `[!-~]{1,100}`, Allowed: "1 to 100 visible characters", Effect: "Names the data centre that this VM runs in."},
-	{Path: "listen", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address for callers."},
-	{Path: "ready", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address at which the platform asks whether this VM takes new connections."},
-	{Path: "peer", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address for the other balancers."},
-	{Path: "news", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address, over UDP, for the news of the other balancers; its port is the same on all VMs."},
-	{Path: "admin", Kind: cvfield.Text, Default: "", Pattern: `|` + addressPattern, Allowed: addressAllowed, Effect: "Address for metrics; without it there are none."},
-	{Path: "traces", Kind: cvfield.Text, Default: "", Pattern: `|https?://[!-~]+`, Allowed: "a URL that begins with http:// or https://", Effect: "OTLP endpoint for traces; none are sent without it."},
+	{Path: "listen", Kind: cvfield.Text, Required: true, Pattern: cvvmsettings.AddressPattern, Allowed: cvvmsettings.AddressAllowed, Effect: "Address for callers."},
+	{Path: "ready", Kind: cvfield.Text, Required: true, Pattern: cvvmsettings.AddressPattern, Allowed: cvvmsettings.AddressAllowed, Effect: "Address at which the platform asks whether this VM takes new connections."},
+	{Path: "peer", Kind: cvfield.Text, Required: true, Pattern: cvvmsettings.AddressPattern, Allowed: cvvmsettings.AddressAllowed, Effect: "Address for the other balancers."},
+	{Path: "news", Kind: cvfield.Text, Required: true, Pattern: cvvmsettings.AddressPattern, Allowed: cvvmsettings.AddressAllowed, Effect: "Address, over UDP, for the news of the other balancers; its port is the same on all VMs."},
+	{Path: "admin", Kind: cvfield.Text, Default: "", Pattern: `|` + cvvmsettings.AddressPattern, Allowed: cvvmsettings.AddressAllowed, Effect: "Address for metrics; without it there are none."},
+	{Path: "traces", Kind: cvfield.Text, Default: "", Pattern: `|` + cvvmsettings.URLPattern, Allowed: cvvmsettings.URLAllowed, Effect: "OTLP endpoint for traces; none are sent without it."},
 	{Path: "traceShare", Kind: cvfield.Share, Default: "1%", Min: "0%", Max: "100%", Effect: "Share of requests that are traced, where the caller did not decide."},
-	{Path: "seeds", Kind: cvfield.Texts, Default: "", Pattern: addressPattern, Allowed: "a list of addresses", Effect: "Addresses of some other balancers, to meet the others through; their ports do not count."},
-	{Path: "directory", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address of the platform's log service, which holds routes and upstreams."},
+	{Path: "seeds", Kind: cvfield.Texts, Default: "", Pattern: cvvmsettings.AddressPattern, Allowed: "a list of addresses", Effect: "Addresses of some other balancers, to meet the others through; their ports do not count."},
+	{Path: "directory", Kind: cvfield.Text, Required: true, Pattern: cvvmsettings.AddressPattern, Allowed: cvvmsettings.AddressAllowed, Effect: "Address of the platform's log service, which holds routes and upstreams."},
 	{Path: "memory", Kind: cvfield.Count, Default: "512", Min: "32", Max: "1000000", Effect: "Memory of this VM in megabytes; request bodies in progress take a quarter at most, and further ones are refused."},
 	{Path: "terms.stop", Kind: cvfield.Duration, Default: "6s", Min: "1s", Max: "1h", Effect: "After the stop signal, when the platform kills the process."},
 	{Path: "terms.notice", Kind: cvfield.Duration, Default: "2500ms", Min: "0s", Max: "1m", Effect: "After the stop signal, how long new connections are still taken, until the platform has noticed: two checks a second apart, and their way."},
@@ -45,65 +37,39 @@
 
 // Settings is what one VM is told about itself and its surroundings.
 type Settings struct {
-	values *cvvalues.Values
+	cvvmsettings.Common
 }
 
-// fault is the error type of this package.
-type fault struct{ cvfault.Fault }
-
 // Fields returns the fields of a settings file in the order of the reference page.
 func Fields() []cvfield.Field { return schema.Fields() }
 
 // Load reads and checks a settings file.
-func Load(file string) (*Settings, error) {
-	content, err := os.ReadFile(file)
-	if err != nil {
-		return nil, fault{cvfault.New("load", comfreyvale.KindNotFound, err)}
-	}
-	return Parse(file, content)
-}
+func Load(file string) (*Settings, error) { return made(cvvmsettings.Load(file, schema)) }
 
 // Parse checks the content of a settings file. The error has a line for each problem.
 func Parse(file string, content []byte) (*Settings, error) {
-	values, err := schema.Parse(file, content)
+	return made(cvvmsettings.Parse(file, content, schema))
+}
+
+func made(common cvvmsettings.Common, err error) (*Settings, error) {
 	if err != nil {
 		return nil, err
 	}
-	return &Settings{values: values}, nil
+	return &Settings{Common: common}, nil
 }
 
-// VM is this VM's name.
-func (s *Settings) VM() string { return s.values.Text("vm") }
-
-// DataCentre is where this VM runs.
-func (s *Settings) DataCentre() string { return s.values.Text("dataCentre") }
-
-// Listen is the address for callers.
-func (s *Settings) Listen() string { return s.values.Text("listen") }
-
 // Ready is the address for the platform's readiness checks.
-func (s *Settings) Ready() string { return s.values.Text("ready") }
-
-// Peer is the address for the other balancers.
-func (s *Settings) Peer() string { return s.values.Text("peer") }
-
-// Admin is the address for metrics, or empty.
-func (s *Settings) Admin() string { return s.values.Text("admin") }
+func (s *Settings) Ready() string { return s.Text("ready") }
 
 // News is the address for the news of the other balancers.
-func (s *Settings) News() string { return s.values.Text("news") }
-
-// Traces is the OTLP endpoint, or empty.
-func (s *Settings) Traces() string { return s.values.Text("traces") }
-
-// TraceShare is the share of requests that are traced.
-func (s *Settings) TraceShare() float64 { return s.values.Share("traceShare") }
+func (s *Settings) News() string { return s.Text("news") }
 
 // Seeds are the news addresses of some other balancers.
 func (s *Settings) Seeds() []string {
+	// The checked patterns of the fields leave no address without a port.
 	_, port, _ := net.SplitHostPort(s.News())
 	var found []string
-	for _, seed := range s.values.Texts("seeds") {
+	for _, seed := range s.Texts("seeds") {
 		if ip, _, err := net.SplitHostPort(seed); err == nil {
 			found = append(found, net.JoinHostPort(ip, port))
 		}
@@ -112,17 +78,17 @@
 }
 
 // Directory is the address of the platform's log service.
-func (s *Settings) Directory() string { return s.values.Text("directory") }
+func (s *Settings) Directory() string { return s.Text("directory") }
 
 // MemoryMB is the memory of this VM in megabytes.
-func (s *Settings) MemoryMB() int { return s.values.Count("memory") }
+func (s *Settings) MemoryMB() int { return s.Count("memory") }
 
 // Terms are the deployment's bounds.
 func (s *Settings) Terms() cvterms.Terms {
 	return cvterms.New().
-		WithStops(s.values.Duration("terms.drain"), s.values.Duration("terms.stop"), s.values.Duration("terms.stable")).
-		WithNotice(s.values.Duration("terms.notice")).
-		WithApply(s.values.Duration("terms.apply")).
-		WithRetries(s.values.Number("terms.retryRatio"), s.values.Duration("terms.retryWindow"), s.values.Number("terms.retrySlack")).
-		WithProbes(s.values.Number("terms.probesPerSecond"))
+		WithStops(s.Duration("terms.drain"), s.Duration("terms.stop"), s.Duration("terms.stable")).
+		WithNotice(s.Duration("terms.notice")).
+		WithApply(s.Duration("terms.apply")).
+		WithRetries(s.Number("terms.retryRatio"), s.Duration("terms.retryWindow"), s.Number("terms.retrySlack")).
+		WithProbes(s.Number("terms.probesPerSecond"))
 }
--- a/io/operators/cvsettings/cvsettings.go
+++ b/io/operators/cvsettings/cvsettings.go
@@ -2,37 +2,30 @@
 package cvsettings
 
 import (
-	"os"
 	"time"
 
-	"comfreyvale"
-	"comfreyvale/core/cvfault"
 	"comfreyvale/core/cvfield"
 	"comfreyvale/core/cvschema"
-	"comfreyvale/core/cvvalues"
+	"comfreyvale/io/operators/cvvmsettings"
 )
 
 const (
-	addressPattern = `(\[[0-9a-f:]+\]|[0-9]{1,3}(\.[0-9]{1,3}){3}):[0-9]{1,5}`
-	addressAllowed = "an IP number and a port, like 10.0.0.1:8080"
-	urlPattern     = `https?://[!-~]+`
-	urlAllowed     = "a URL that begins with http:// or https://"
-	namePattern    = `[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?`
-	nameAllowed    = "1 to 63 of a-z, 0-9 and -"
+	namePattern = `[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?`
+	nameAllowed = "1 to 63 of a-z, 0-9 and -"
 )
 
 // schema lists the fields of a settings file.
 var schema = cvschema.New([]cvfield.Field{
 	{Path: "vm", Kind: cvfield.Text, Required: true, Pattern: namePattern, Allowed: nameAllowed, Effect: "Names this VM, as the platform's list does."},
 	{Path: "dataCentre", Kind: cvfield.Text, Required: true, Pattern: namePattern, Allowed: nameAllowed, Effect: "Names the data centre that this VM runs in."},
-	{Path: "listen", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address for callers."},
-	{Path: "admin", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address for operators: status, explain, metrics, readiness."},
-	{Path: "peer", Kind: cvfield.Text, Required: true, Pattern: addressPattern, Allowed: addressAllowed, Effect: "Address for the other balancers."},
-	{Path: "peerAdvertise", Kind: cvfield.Text, Default: "", Pattern: `|` + addressPattern, Allowed: addressAllowed, Effect: "Address that the other balancers reach the peer address by, where it differs."},
+	{Path: "listen", Kind: cvfield.Text, Required: true, Pattern: cvvmsettings.AddressPattern, Allowed: cvvmsettings.AddressAllowed, Effect: "Address for callers."},
+	{Path: "admin", Kind: cvfield.Text, Required: true, Pattern: cvvmsettings.AddressPattern, Allowed: cvvmsettings.AddressAllowed, Effect: "Address for operators: status, explain, metrics, readiness."},
+	{Path: "peer", Kind: cvfield.Text, Required: true, Pattern: cvvmsettings.AddressPattern, Allowed: cvvmsettings.AddressAllowed, Effect: "Address for the other balancers."},
+	{Path: "peerAdvertise", Kind: cvfield.Text, Default: "", Pattern: `|` + cvvmsettings.AddressPattern, Allowed: cvvmsettings.AddressAllowed, Effect: "Address that the other balancers reach the peer address by, where it differs."},
 	{Path: "logRetention", Kind: cvfield.Duration, Default: "1h", Min: "1s", Max: "720h", Effect: "How long the platform's log keeps records at least; checkpoints are written four times as often."},
 	{Path: "group", Kind: cvfield.Text, Default: "comfreyvale", Pattern: namePattern, Allowed: nameAllowed, Effect: "Group of the balancers in the platform's VM list."},
-	{Path: "log.address", Kind: cvfield.Text, Required: true, Pattern: urlPattern, Allowed: urlAllowed, Effect: "The platform's log service."},
-	{Path: "vmList.address", Kind: cvfield.Text, Required: true, Pattern: urlPattern, Allowed: urlAllowed, Effect: "The platform's VM list."},
+	{Path: "log.address", Kind: cvfield.Text, Required: true, Pattern: cvvmsettings.URLPattern, Allowed: cvvmsettings.URLAllowed, Effect: "The platform's log service."},
+	{Path: "vmList.address", Kind: cvfield.Text, Required: true, Pattern: cvvmsettings.URLPattern, Allowed: cvvmsettings.URLAllowed, Effect: "The platform's VM list."},
 	{Path: "vmList.poll", Kind: cvfield.Duration, Default: "1s", Min: "100ms", Max: "1m", Effect: "How often the VM list is read."},
 	{Path: "policy", Kind: cvfield.Text, Default: "soonest", Pattern: "soonest|leastOfTwo|robin|random|probing", Allowed: "soonest, leastOfTwo, robin, random or probing", Effect: "Routing policy; all but soonest are there for comparison."},
 	{Path: "gossip", Kind: cvfield.Duration, Default: "10ms", Min: "1ms", Max: "1s", Effect: "How often changes are told to the other balancers at most."},
@@ -47,118 +40,91 @@
 	{Path: "peerTls.certificate", Kind: cvfield.Text, Default: "", Effect: "PEM file with this VM's certificate for the other balancers; without it the peer links are plain."},
 	{Path: "peerTls.key", Kind: cvfield.Text, Default: "", Effect: "PEM file with that certificate's key."},
 	{Path: "peerTls.authority", Kind: cvfield.Text, Default: "", Effect: "PEM file with the authority that signs the balancers' certificates."},
-	{Path: "traces", Kind: cvfield.Text, Default: "", Pattern: `|` + urlPattern, Allowed: urlAllowed, Effect: "OTLP endpoint for traces; none are sent without it."},
+	{Path: "traces", Kind: cvfield.Text, Default: "", Pattern: `|` + cvvmsettings.URLPattern, Allowed: cvvmsettings.URLAllowed, Effect: "OTLP endpoint for traces; none are sent without it."},
 	{Path: "traceShare", Kind: cvfield.Share, Default: "1%", Min: "0%", Max: "100%", Effect: "Share of calls that are traced, where the caller did not decide."},
 })
 
 // Settings is what one VM is told about itself and its surroundings.
 type Settings struct {
-	values *cvvalues.Values
+	cvvmsettings.Common
 }
 
-// fault is the error type of this package.
-type fault struct{ cvfault.Fault }
-
 // Fields returns the fields of a settings file in the order of the reference page.
 func Fields() []cvfield.Field { return schema.Fields() }
 
 // Load reads and checks a settings file.
-func Load(file string) (*Settings, error) {
-	content, err := os.ReadFile(file)
-	if err != nil {
-		return nil, fault{cvfault.New("load", comfreyvale.KindNotFound, err)}
-	}
-	return Parse(file, content)
-}
+func Load(file string) (*Settings, error) { return made(cvvmsettings.Load(file, schema)) }
 
 // Parse checks the content of a settings file. The error has a line for each problem.
 func Parse(file string, content []byte) (*Settings, error) {
-	values, err := schema.Parse(file, content)
+	return made(cvvmsettings.Parse(file, content, schema))
+}
+
+func made(common cvvmsettings.Common, err error) (*Settings, error) {
 	if err != nil {
 		return nil, err
 	}
-	return &Settings{values: values}, nil
+	return &Settings{Common: common}, nil
 }
 
-// VM is this VM's name.
-func (s *Settings) VM() string { return s.values.Text("vm") }
-
-// DataCentre is where this VM runs.
-func (s *Settings) DataCentre() string { return s.values.Text("dataCentre") }
-
-// Listen is the address for callers.
-func (s *Settings) Listen() string { return s.values.Text("listen") }
-
-// Admin is the address for operators.
-func (s *Settings) Admin() string { return s.values.Text("admin") }
-
-// Peer is the address for the other balancers.
-func (s *Settings) Peer() string { return s.values.Text("peer") }
-
 // PeerAdvertise is the address that the other balancers use.
 func (s *Settings) PeerAdvertise() string {
-	if a := s.values.Text("peerAdvertise"); a != "" {
+	if a := s.Text("peerAdvertise"); a != "" {
 		return a
 	}
 	return s.Peer()
 }
 
 // LogRetention is how long the platform's log keeps records at least.
-func (s *Settings) LogRetention() time.Duration { return s.values.Duration("logRetention") }
+func (s *Settings) LogRetention() time.Duration { return s.Duration("logRetention") }
 
 // Group is the balancers' group in the VM list.
-func (s *Settings) Group() string { return s.values.Text("group") }
+func (s *Settings) Group() string { return s.Text("group") }
 
 // LogAddress is the URL of the platform's log service.
-func (s *Settings) LogAddress() string { return s.values.Text("log.address") }
+func (s *Settings) LogAddress() string { return s.Text("log.address") }
 
 // VMListAddress is the URL of the platform's VM list.
-func (s *Settings) VMListAddress() string { return s.values.Text("vmList.address") }
+func (s *Settings) VMListAddress() string { return s.Text("vmList.address") }
 
 // VMListPoll is the time between two reads of the VM list.
-func (s *Settings) VMListPoll() time.Duration { return s.values.Duration("vmList.poll") }
+func (s *Settings) VMListPoll() time.Duration { return s.Duration("vmList.poll") }
 
 // Policy is the name of the routing policy.
-func (s *Settings) Policy() string { return s.values.Text("policy") }
+func (s *Settings) Policy() string { return s.Text("policy") }
 
 // Gossip is the shortest time between two messages of news to a peer.
-func (s *Settings) Gossip() time.Duration { return s.values.Duration("gossip") }
+func (s *Settings) Gossip() time.Duration { return s.Duration("gossip") }
 
 // SuspectAfter is how long a balancer must be unreachable before it leaves the roster.
-func (s *Settings) SuspectAfter() time.Duration { return s.values.Duration("suspectAfter") }
+func (s *Settings) SuspectAfter() time.Duration { return s.Duration("suspectAfter") }
 
 // JournalInterval is the shortest time between two journal appends.
-func (s *Settings) JournalInterval() time.Duration { return s.values.Duration("journalInterval") }
+func (s *Settings) JournalInterval() time.Duration { return s.Duration("journalInterval") }
 
 // AnswerMemory is how many bytes of answers are held at a time.
-func (s *Settings) AnswerMemory() int64 { return s.values.Size("answerMemory") }
+func (s *Settings) AnswerMemory() int64 { return s.Size("answerMemory") }
 
 // ReplayMemory is how many bytes of answers are kept for resends.
-func (s *Settings) ReplayMemory() int64 { return s.values.Size("replayMemory") }
+func (s *Settings) ReplayMemory() int64 { return s.Size("replayMemory") }
 
 // StopLag is how long new calls are taken after the stop signal.
-func (s *Settings) StopLag() time.Duration { return s.values.Duration("stop.lag") }
+func (s *Settings) StopLag() time.Duration { return s.Duration("stop.lag") }
 
 // StopLimit is how long calls in progress may take after the lag.
-func (s *Settings) StopLimit() time.Duration { return s.values.Duration("stop.limit") }
+func (s *Settings) StopLimit() time.Duration { return s.Duration("stop.limit") }
 
 // Certificate is the PEM file of the certificate for callers, or empty.
-func (s *Settings) Certificate() string { return s.values.Text("tls.certificate") }
+func (s *Settings) Certificate() string { return s.Text("tls.certificate") }
 
 // Key is the PEM file of that certificate's key, or empty.
-func (s *Settings) Key() string { return s.values.Text("tls.key") }
+func (s *Settings) Key() string { return s.Text("tls.key") }
 
 // PeerCertificate is the PEM file of the certificate for the other balancers, or empty.
-func (s *Settings) PeerCertificate() string { return s.values.Text("peerTls.certificate") }
+func (s *Settings) PeerCertificate() string { return s.Text("peerTls.certificate") }
 
 // PeerKey is the PEM file of that certificate's key, or empty.
-func (s *Settings) PeerKey() string { return s.values.Text("peerTls.key") }
+func (s *Settings) PeerKey() string { return s.Text("peerTls.key") }
 
 // PeerAuthority is the PEM file of the authority of the balancers' certificates, or empty.
-func (s *Settings) PeerAuthority() string { return s.values.Text("peerTls.authority") }
-
-// Traces is the OTLP endpoint, or empty.
-func (s *Settings) Traces() string { return s.values.Text("traces") }
-
-// TraceShare is the share of calls that are traced.
-func (s *Settings) TraceShare() float64 { return s.values.Share("traceShare") }
+func (s *Settings) PeerAuthority() string { return s.Text("peerTls.authority") }
--- a/io/upstreams/cvpool/connection.go
+++ b/io/upstreams/cvpool/connection.go
@@ -227,14 +227,8 @@
 func (p *Pool) head(to *cvinstance.Instance, message *cvmessage.Message, left time.Duration) []byte {
 	var b bytes.Buffer
 	b.WriteString(message.Method() + " " + message.Target() + " HTTP/1.1\r\nHost: " + message.Host() + "\r\n")
-	for name, values := range message.Header() {
-		if name == p.Signs.Deadline || name == p.Signs.Instance || name == "Content-Length" {
-			continue
-		}
-		for _, v := range values {
-			b.WriteString(name + ": " + v + "\r\n")
-		}
-	}
+	// A buffer takes all that is written to it.
+	_ = message.Header().WriteSubset(&b, map[string]bool{p.Signs.Deadline: true, p.Signs.Instance: true, "Content-Length": true})
 	b.WriteString(p.Signs.Deadline + ": " + strconv.FormatInt(max(left.Milliseconds(), 1), 10) + "\r\n")
 	b.WriteString(p.Signs.Instance + ": " + to.ID() + "\r\n")
 	if len(message.Body()) > 0 || message.Header()["Content-Length"] != nil {
