Put the ejected upstream's fault in for certain

Its fault was 30 calls one after another to two upstreams, of which one fails; the policy steers away from an upstream after its first failure, so that the second failure in a row, which ejects it, came by chance alone. Ruled out: a fault of the ejection; in each failed run fewer than two calls had reached the failing upstream. Change: the other upstream's only slot is taken by a long call first, so that each call has its first try at the failing one. What is asked of the answer is as before. Conclusion: the check was right, its fault was drawn by chance; the assertions stay.

--- a/io/balancers/cvbalancer/causes_test.go
+++ b/io/balancers/cvbalancer/causes_test.go
@@ -116,11 +116,14 @@
 			call:  func(s *system) reply { return s.send(0, "POST", "/others", map[string]string{"Idempotency-Key": "k"}) },
 		},
 		"ejected": {
-			service: "ejectFailures: 2\n", cause: comfreyvale.CauseEjected, setting: "ejectFailures", line: 4, subject: "g-1",
+			service: "ejectFailures: 2\nslots: 1\nhedgeQuantile: 100%\n", cause: comfreyvale.CauseEjected, setting: "ejectFailures", line: 4, subject: "g-1",
 			fault: func(s *system) {
 				s.control(0, `{"failFast":true}`)
-				for range 30 {
-					s.send(0, "GET", "/lots/1", nil)
+				go s.send(0, "GET", "/lots/1?workMs=1000", nil)
+				s.awaitRunning(1)
+				// The other upstream's only slot is taken, so each of these has its first try at the failing one.
+				for range 2 {
+					s.send(0, "GET", "/lots/1", map[string]string{"Comfreyvale-Timeout": "100"})
 				}
 			},
 			call: lookup,
--- a/io/balancers/cvbalancer/harness_test.go
+++ b/io/balancers/cvbalancer/harness_test.go
@@ -116,20 +116,40 @@
 	}, 20*time.Second, 10*time.Millisecond, url)
 }
 
-// control switches a fault of an upstream.
-func (s *system) control(i int, fault string) {
+// upstream is the address of an upstream.
+func (s *system) upstream(i int) string {
 	vms, err := s.list.List(context.Background())
 	require.NoError(s.t, err)
 	name := fmt.Sprintf("g-%d", i+1)
 	for _, v := range vms {
 		if v.Name() == name {
-			response, err := s.client.Post("http://"+v.Address()+"/control", "application/json", strings.NewReader(fault))
-			require.NoError(s.t, err)
-			response.Body.Close()
-			return
+			return v.Address()
 		}
 	}
 	s.t.Fatal("no upstream " + name)
+	return ""
+}
+
+// control switches a fault of an upstream.
+func (s *system) control(i int, fault string) {
+	response, err := s.client.Post("http://"+s.upstream(i)+"/control", "application/json", strings.NewReader(fault))
+	require.NoError(s.t, err)
+	response.Body.Close()
+}
+
+// awaitRunning waits until an upstream runs a request.
+func (s *system) awaitRunning(i int) {
+	require.Eventually(s.t, func() bool {
+		response, err := s.client.Get("http://" + s.upstream(i) + "/control/counts")
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		var counts struct {
+			InFlight int `json:"inFlight"`
+		}
+		return json.NewDecoder(response.Body).Decode(&counts) == nil && counts.InFlight > 0
+	}, 20*time.Second, time.Millisecond)
 }
 
 // reply is what a caller got.
