Have only balancers that can read the platform's directories read them for others

Cause: a balancer that the platform turns away stayed its data centre's reader, and any balancer that had read once for itself counted as a reader for 3.5 s. Change: whole news say whether the sender's last read failed and whether reading is its task. The task passes over those that cannot read, for 5 s after a failed read; only those whose task it is, heard within 1.2 s, cover others. A reader whose own read stays unanswered while another has had the answer for 0.4 s takes that one's records. A test with three nodes passed on the old ones too, as one data centre settles on one reader by chance, and was not kept.

--- a/core/cvneighbours/cvneighbours.go
+++ b/core/cvneighbours/cvneighbours.go
@@ -7,11 +7,16 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"comfreyvale/core/cvwire"
 )
 
 const (
 	// liveTime is how long a balancer counts as there without being heard: three whole messages of the slowest rate.
 	liveTime = 2 * time.Second
+	// readerTime is how long a balancer that reads for others counts as there without being heard: two whole messages, as
+	// a change must be in force two seconds after its acknowledgement also when its reader has died.
+	readerTime = 1200 * time.Millisecond
 	// countedTime is how long a balancer counts among those that share budgets: longer than a budget's window.
 	countedTime = 30 * time.Second
 	// forgetTime is how long an address that stays silent is still tried.
@@ -22,6 +27,8 @@
 	unknownBalancers = 12
 	// unheardBalancers is how many are assumed beside those that were heard.
 	unheardBalancers = 1
+	// readTask names the task of reading the directories.
+	readTask = "read"
 )
 
 // Neighbours is the set of the other balancers. It is not safe for concurrent use.
@@ -41,6 +48,8 @@
 	version    int64
 	stopping   bool
 	away       bool
+	unreadable bool
+	reading    bool
 	readAt     time.Time
 	routes     int64
 	upstreams  int64
@@ -84,10 +93,16 @@
 }
 
 // Describe takes what a balancer says of itself in a whole message.
-func (n *Neighbours) Describe(address, dataCentre string, version int64, stopping, away bool) {
-	if found := n.known[address]; found != nil {
-		found.dataCentre, found.version, found.stopping, found.away = dataCentre, version, stopping, away
+func (n *Neighbours) Describe(now time.Time, address string, message *cvwire.News) {
+	found := n.known[address]
+	if found == nil {
+		return
 	}
+	found.dataCentre, found.version, found.stopping = message.GetDataCentre(), message.GetVersion(), message.GetStopping()
+	found.away, found.unreadable, found.reading = message.GetDirectoryAway(), message.GetUnreadable(), message.GetReading()
+	found.readAt = now.Add(-time.Duration(message.GetReadAgeMs()) * time.Millisecond)
+	found.routes, found.upstreams = message.GetRoutesNext(), message.GetUpstreamsNext()
+	n.Learn(now, message.GetPeers())
 }
 
 // Reaching is a balancer that can read the platform's directories, of the own data centre if there is one, or empty.
@@ -122,30 +137,34 @@
 
 // Mine says whether, of the balancers of the own data centre, a task falls to this one.
 func (n *Neighbours) Mine(now time.Time, task string) bool {
+	return n.mine(now, task, func(*neighbour) bool { return true })
+}
+
+// Reader says whether, of the balancers of the own data centre that can read the platform's directories, reading them for
+// the others falls to this one, which can read them itself.
+func (n *Neighbours) Reader(now time.Time) bool {
+	return n.mine(now, readTask, func(k *neighbour) bool { return !k.unreadable })
+}
+
+// mine says whether, of the balancers of the own data centre that can do a task, it falls to this one.
+func (n *Neighbours) mine(now time.Time, task string, can func(k *neighbour) bool) bool {
 	own := weight(n.Self, task)
 	for address, k := range n.known {
-		if k.dataCentre == n.DataCentre && !k.stopping && n.live(now, k) && weight(address, task) > own {
+		if k.dataCentre == n.DataCentre && !k.stopping && n.live(now, k) && can(k) && weight(address, task) > own {
 			return false
 		}
 	}
 	return true
 }
 
-// Read takes when a balancer read the platform's directories last, and how far.
-func (n *Neighbours) Read(address string, at time.Time, routes, upstreams int64) {
-	if found := n.known[address]; found != nil {
-		found.readAt, found.routes, found.upstreams = at, routes, upstreams
-	}
-}
-
 // Ahead returns balancers that have read past an offset of the routes and of the upstreams, near ones first, or empty
-// texts. Covered says that some balancer has read the directories itself within a time.
+// texts. Covered says that a balancer whose task it is has read the directories within a time.
 func (n *Neighbours) Ahead(now time.Time, within time.Duration, routes, upstreams int64) (ofRoutes, ofUpstreams string, covered bool) {
 	for a, k := range n.known {
 		if !n.live(now, k) || k.stopping || now.Sub(k.readAt) >= within {
 			continue
 		}
-		covered = true
+		covered = covered || k.reading && now.Sub(k.heard) < readerTime
 		if k.routes > routes && n.nearer(a, ofRoutes) {
 			ofRoutes = a
 		}
--- a/core/cvneighbours/cvneighbours_test.go
+++ b/core/cvneighbours/cvneighbours_test.go
@@ -8,13 +8,19 @@
 	"github.com/stretchr/testify/require"
 
 	"comfreyvale/core/cvneighbours"
+	"comfreyvale/core/cvwire"
 )
 
 var start = time.Unix(1000, 0)
 
 func heard(n *cvneighbours.Neighbours, now time.Time, address, dataCentre string, number uint64) {
+	tell(n, now, address, number, &cvwire.News{DataCentre: dataCentre, Version: int64(number)})
+}
+
+// tell hears a whole message.
+func tell(n *cvneighbours.Neighbours, now time.Time, address string, number uint64, message *cvwire.News) {
 	n.Hear(now, address, 1, number)
-	n.Describe(address, dataCentre, int64(number), false, false)
+	n.Describe(now, address, message)
 }
 
 // TestLive knows who is there, near or anywhere, and tries again who is silent.
@@ -87,12 +93,9 @@
 	n := &cvneighbours.Neighbours{Self: "a", DataCentre: "x"}
 	_, _, covered := n.Ahead(start, time.Second, 0, 0)
 	require.False(t, covered)
-	heard(n, start, "b", "y", 1)
-	heard(n, start, "c", "x", 1)
-	heard(n, start, "d", "x", 1)
-	n.Read("b", start, 9, 7)
-	n.Read("c", start, 9, 4)
-	n.Read("d", start.Add(-time.Minute), 20, 20)
+	tell(n, start, "b", 1, &cvwire.News{DataCentre: "y", Reading: true, RoutesNext: 9, UpstreamsNext: 7})
+	tell(n, start, "c", 1, &cvwire.News{DataCentre: "x", Reading: true, RoutesNext: 9, UpstreamsNext: 4})
+	tell(n, start, "d", 1, &cvwire.News{DataCentre: "x", Reading: true, ReadAgeMs: 60_000, RoutesNext: 20, UpstreamsNext: 20})
 	routes, upstreams, covered := n.Ahead(start, time.Second, 8, 4)
 	require.True(t, covered)
 	require.Equal(t, "c", routes, "the near one first")
@@ -104,6 +107,40 @@
 	require.False(t, covered)
 }
 
+// TestReader gives the task of reading to one balancer of a data centre, and passes over those that cannot read.
+func TestReader(t *testing.T) {
+	addresses := []string{"a", "b", "c", "d"}
+	unreadable := map[string]bool{}
+	for number := range uint64(len(addresses)) {
+		var readers []string
+		for _, self := range addresses {
+			n := &cvneighbours.Neighbours{Self: self, DataCentre: "x"}
+			for _, other := range addresses {
+				tell(n, start, other, number+1, &cvwire.News{DataCentre: "x", Unreadable: unreadable[other]})
+			}
+			if !unreadable[self] && n.Reader(start) {
+				readers = append(readers, self)
+			}
+		}
+		require.Len(t, readers, 1, "unreadable: %v", unreadable)
+		unreadable[readers[0]] = true
+	}
+}
+
+// TestCovered takes a balancer for the reader of others only while reading is its task and it is heard.
+func TestCovered(t *testing.T) {
+	n := &cvneighbours.Neighbours{Self: "a", DataCentre: "x"}
+	covered := func(now time.Time) bool {
+		_, _, covered := n.Ahead(now, time.Minute, 0, 0)
+		return covered
+	}
+	tell(n, start, "b", 1, &cvwire.News{DataCentre: "x"})
+	require.False(t, covered(start), "it read once for itself, which brings nobody the next change")
+	tell(n, start, "b", 2, &cvwire.News{DataCentre: "x", Reading: true})
+	require.True(t, covered(start))
+	require.False(t, covered(start.Add(1500*time.Millisecond)), "not heard since")
+}
+
 // TestReaching names a balancer that can read the directories, a near one first.
 func TestReaching(t *testing.T) {
 	n := &cvneighbours.Neighbours{Self: "a", DataCentre: "x"}
@@ -112,10 +149,10 @@
 	heard(n, start, "d", "x", 1)
 	heard(n, start, "c", "x", 1)
 	require.Equal(t, "c", n.Reaching(start))
-	n.Describe("c", "x", 1, false, true)
-	n.Describe("d", "x", 1, false, true)
+	tell(n, start, "c", 2, &cvwire.News{DataCentre: "x", Version: 1, DirectoryAway: true})
+	tell(n, start, "d", 2, &cvwire.News{DataCentre: "x", Version: 1, DirectoryAway: true})
 	require.Equal(t, "b", n.Reaching(start))
-	n.Describe("b", "y", 1, false, true)
+	tell(n, start, "b", 2, &cvwire.News{DataCentre: "y", Version: 1, DirectoryAway: true})
 	require.Empty(t, n.Reaching(start))
 	require.Empty(t, n.Reaching(start.Add(time.Minute)))
 }
--- a/io/balancers/cvnode/cvnode.go
+++ b/io/balancers/cvnode/cvnode.go
@@ -93,8 +93,9 @@
 	mu sync.Mutex
 	// record is the configuration in force as it was read.
 	record []byte
-	// routesRead and upstreamsRead are when this balancer itself read the directories last.
-	routesRead, upstreamsRead time.Time
+	// routesRead and upstreamsRead are when this balancer itself read the directories last, and readFailed is when it
+	// failed to, if it has read neither since.
+	routesRead, upstreamsRead, readFailed time.Time
 	// routesKept and upstreamsKept are the last records of the directories, for other balancers.
 	routesKept, upstreamsKept kept
 	fleet                     cvfleet.Fleet
--- a/io/balancers/cvnode/watching.go
+++ b/io/balancers/cvnode/watching.go
@@ -10,11 +10,12 @@
 )
 
 const (
-	// readTask names the task of reading the directories, which one balancer of each data centre has.
-	readTask = "read"
 	// readTime is how long ago another balancer may have read the directories to count as their reader: a read's longest
 	// wait, its pause, and two whole messages.
 	readTime = 3500 * time.Millisecond
+	// unreadableTime is how long a balancer whose read failed leaves reading to others before it tries again: some outages
+	// of a few seconds, at the price of a refused read each.
+	unreadableTime = 5 * time.Second
 	// keptRecords is how many records of each directory are kept for others: some seconds of the busiest changes.
 	keptRecords = 2000
 	// keptBytes bounds the records that are kept of each directory.
@@ -66,7 +67,7 @@
 func (n *Node) share(name string, own comfreyvale.Directory, read *time.Time) *cvshared.Directory {
 	return &cvshared.Directory{
 		Own: own, Logger: n.Logger,
-		Reader: func(now time.Time) bool { return n.news.Mine(now, readTask) },
+		Reader: n.isReader,
 		Ahead: func(now time.Time, from int64) (string, bool) {
 			routes, upstreams, covered := n.news.Ahead(now, readTime, from, from)
 			if name == routesDirectory {
@@ -77,14 +78,28 @@
 		Fetch: func(ctx context.Context, address string, from int64) (comfreyvale.Changes, error) {
 			return n.fetchRecords(ctx, address, name, from)
 		},
-		Read: func(now time.Time) {
+		Tried: func(now time.Time, err error) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
-			*read = now
+			if err != nil {
+				n.readFailed = now
+				return
+			}
+			*read, n.readFailed = now, time.Time{}
 		},
 	}
 }
 
+// isReader says whether this balancer reads the directories for those of its data centre.
+func (n *Node) isReader(now time.Time) bool { return !n.isUnreadable(now) && n.news.Reader(now) }
+
+// isUnreadable says whether this balancer's last read of the directories failed, lately.
+func (n *Node) isUnreadable(now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return now.Sub(n.readFailed) < unreadableTime
+}
+
 // fetchRecords takes a directory's records from another balancer.
 func (n *Node) fetchRecords(ctx context.Context, address, directory string, from int64) (comfreyvale.Changes, error) {
 	peer, err := n.relayAddress(address)
@@ -121,6 +136,7 @@
 // tellReading puts into a whole message how far this balancer has read the directories.
 func (n *Node) tellReading(now time.Time, message *cvwire.News) {
 	age := n.readAge(now)
+	message.Unreadable, message.Reading = n.isUnreadable(now), n.isReader(now)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	message.RoutesNext, message.UpstreamsNext = n.routesKept.next(), n.upstreamsKept.next()
--- a/io/peers/cvnews/cvnews.go
+++ b/io/peers/cvnews/cvnews.go
@@ -114,8 +114,15 @@
 	return n.neighbours.Mine(now, task)
 }
 
+// Reader says whether reading the directories for the own data centre falls to this balancer, if it can read them.
+func (n *News) Reader(now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.neighbours.Reader(now)
+}
+
 // Ahead returns balancers that have read past an offset of the routes and of the upstreams, or empty texts. Covered says
-// that some balancer has read the directories itself within a time.
+// that a balancer whose task it is has read the directories within a time.
 func (n *News) Ahead(now time.Time, within time.Duration, routes, upstreams int64) (ofRoutes, ofUpstreams string, covered bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -260,9 +267,7 @@
 	n.mu.Lock()
 	fresh := n.neighbours.Hear(now, from, message.GetProcess(), message.GetNumber())
 	if fresh && message.GetWhole() {
-		n.neighbours.Describe(from, message.GetDataCentre(), message.GetVersion(), message.GetStopping(), message.GetDirectoryAway())
-		n.neighbours.Read(from, now.Add(-time.Duration(message.GetReadAgeMs())*time.Millisecond), message.GetRoutesNext(), message.GetUpstreamsNext())
-		n.neighbours.Learn(now, message.GetPeers())
+		n.neighbours.Describe(now, from, message)
 	}
 	n.mu.Unlock()
 	if fresh {
--- a/io/store/cvshared/cvshared.go
+++ b/io/store/cvshared/cvshared.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/pkg/errors"
 
 	"comfreyvale"
+	"comfreyvale/core/cvfault"
 	"comfreyvale/io/balancers/cvpause"
 )
 
@@ -15,6 +17,13 @@
 // beside the reader's own pause and its message's way.
 const lookTime = 100 * time.Millisecond
 
+// overdueLooks is how many looks in a row find another balancer ahead before a read counts as lost: longer than the
+// platform's answer to two balancers may differ, and short beside the time in which a change must be in force.
+const overdueLooks = 4
+
+// fault is the error type of this package.
+type fault struct{ cvfault.Fault }
+
 // Directory follows the platform's directory itself, or through another balancer that does.
 type Directory struct {
 	// Own is the platform's directory.
@@ -25,8 +34,8 @@
 	Ahead func(now time.Time, from int64) (address string, covered bool)
 	// Fetch returns the records from an offset on that another balancer keeps.
 	Fetch func(ctx context.Context, address string, from int64) (comfreyvale.Changes, error)
-	// Read is told when the platform's directory itself was read.
-	Read func(now time.Time)
+	// Tried is told how each read of the platform's directory itself ended, without an error when it was answered.
+	Tried func(now time.Time, err error)
 	// Logger takes a line when another balancer's records cannot be had.
 	Logger log.Interface
 }
@@ -34,12 +43,18 @@
 // Newest returns the newest record of each key, from the platform.
 func (d *Directory) Newest(ctx context.Context) (comfreyvale.Changes, error) {
 	changes, err := d.Own.Newest(ctx)
-	if err == nil {
-		d.Read(time.Now())
-	}
+	d.tried(err)
 	return changes, err
 }
 
+// tried tells how a read of the platform's directory ended. An answer that records are gone is an answer.
+func (d *Directory) tried(err error) {
+	if cvfault.KindOf(err) == comfreyvale.KindNotFound {
+		err = nil
+	}
+	d.Tried(time.Now(), err)
+}
+
 // Follow returns the records from an offset on, waiting at most the given time for the first. While another balancer reads
 // for this one, it waits for that one's news.
 func (d *Directory) Follow(ctx context.Context, from int64, wait time.Duration) (comfreyvale.Changes, error) {
@@ -50,22 +65,72 @@
 			break
 		}
 		if address != "" {
-			changes, err := d.Fetch(ctx, address, from)
-			if err == nil {
+			if changes, ok := d.fetch(ctx, address, from); ok {
 				return changes, nil
 			}
-			d.Logger.WithFields(log.Fields{"directory": d.String(), "peer": address, "from": from}).WithError(err).Info("peer's records cannot be had")
 			break
 		}
 		if !now.Before(until) {
 			return comfreyvale.NewChanges(nil, from), nil
 		}
 	}
-	changes, err := d.Own.Follow(ctx, from, wait)
-	if err == nil {
-		d.Read(time.Now())
+	return d.followOwn(ctx, from, wait)
+}
+
+// fetch returns another balancer's records, if they can be had.
+func (d *Directory) fetch(ctx context.Context, address string, from int64) (comfreyvale.Changes, bool) {
+	changes, err := d.Fetch(ctx, address, from)
+	if err != nil {
+		d.Logger.WithFields(log.Fields{"directory": d.String(), "peer": address, "from": from}).WithError(err).Info("peer's records cannot be had")
 	}
-	return changes, err
+	return changes, err == nil
+}
+
+// answer is how a read of the platform's directory ended.
+type answer struct {
+	changes comfreyvale.Changes
+	err     error
+}
+
+// followOwn reads the platform's directory, and gives a read up whose answer other balancers have had for a time.
+func (d *Directory) followOwn(ctx context.Context, from int64, wait time.Duration) (comfreyvale.Changes, error) {
+	reading, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan answer, 1)
+	go func() {
+		changes, err := d.Own.Follow(reading, from, wait)
+		answers <- answer{changes, err}
+	}()
+	ticker := time.NewTicker(lookTime)
+	defer ticker.Stop()
+	for behind := 0; ; {
+		select {
+		case a := <-answers:
+			d.tried(a.err)
+			return a.changes, a.err
+		case now := <-ticker.C:
+			address, _ := d.Ahead(now, from)
+			if address == "" {
+				behind = 0
+				continue
+			}
+			if behind++; behind < overdueLooks {
+				continue
+			}
+			if changes, ok := d.fetch(ctx, address, from); ok {
+				d.overdue(address, from)
+				return changes, nil
+			}
+			behind = 0
+		}
+	}
+}
+
+// overdue notes that the platform's directory left out an answer that another balancer has had.
+func (d *Directory) overdue(peer string, from int64) {
+	err := fault{cvfault.New("follow", comfreyvale.KindTimeout, errors.New("another balancer has had the answer for some time"))}
+	d.Logger.WithFields(log.Fields{"directory": d.String(), "peer": peer, "from": from}).WithError(err).Info("read given up, the peer's records are taken")
+	d.tried(err)
 }
 
 // String names the directory.
