A fault soak of real processes, and three faults that it found

Change: soak/ starts balancers as processes, a stand-in of the platform and upstreams behind loopback proxies, plays drawn faults three beside each other (processes killed, paused, stopped and told to reload; links delayed, reset, silenced, cut one way; the platform away, its history lost, broken records; upstreams that crash, leave, answer wrongly), and checks what callers and upstreams see: whole answers of their own, at most one run, true "not run", the budget of further tries, planned stops that cut nothing, no version that comes back, recovery without help. Found, each with its test: 1. A removal by another balancer's reading is hearsay now, which the same report undoes. Conclusion: one fault of each kind would have reached users; the soak stays.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 # KNOWN_RED matches the tests of KNOWN-RED.txt, which are run by themselves and fail nothing; without any it matches none.
 KNOWN_RED := $(or $(shell cut -d'|' -f1 KNOWN-RED.txt 2>/dev/null | tr -d ' ' | paste -sd'|'),^$$)
 
-.PHONY: build demo test check path prove bench capacity reference
+.PHONY: build demo test check path prove soak bench capacity reference
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -13,6 +13,7 @@
 test:
 	$(GO) test -race . ./cmd/... ./core/... ./io/... ./platform/...
 	$(GO) test -count=1 -timeout 20m ./proof -skip '$(KNOWN_RED)'
+	$(GO) test -count=1 ./soak
 	@scripts/knownred
 
 check:
@@ -27,6 +28,9 @@
 prove:
 	$(GO) test ./proof -v -count=1 -timeout 60m -args -seeds $(or $(SEEDS),3)
 
+soak:
+	$(GO) test ./soak -v -count=1 -timeout 60m -args -first $(or $(FIRST),1) -seeds $(or $(SEEDS),50) -length 12s
+
 bench:
 	$(GO) test ./proof -run XXX -bench Policies -benchtime 1x -timeout 30m
 
--- a/cmd/comfreyvale/main.go
+++ b/cmd/comfreyvale/main.go
@@ -34,8 +34,13 @@
 	commander.Register(&loadCommand{}, "operation")
 	commander.Register(&versionCommand{}, "")
 	flag.Parse()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	status := commander.Execute(ctx)
-	stop()
-	os.Exit(int(status))
+	ctx, stop := context.WithCancel(context.Background())
+	// Signals are taken until the process has ended: a second one must not cut a planned stop short.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		stop()
+	}()
+	os.Exit(int(commander.Execute(ctx)))
 }
--- a/cmd/comfreyvale/serve.go
+++ b/cmd/comfreyvale/serve.go
@@ -45,8 +45,8 @@
 
 // Execute runs the command.
 func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	// Until the settings are watched, the signal to read them again must not end the process; a change is noticed without it.
-	signal.Ignore(syscall.SIGHUP)
+	// Before and after the settings are watched, the signal to read them again must not end the process.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	settings, err := cvnodesettings.Load(c.settings)
 	if err != nil {
 		return failed(err)
--- a/core/cvfleet/cvfleet.go
+++ b/core/cvfleet/cvfleet.go
@@ -33,6 +33,16 @@
 type removal struct {
 	last *cvinstance.Instance
 	at   time.Time
+	// hearsay says that another balancer's reading lacked the instance, which may have been behind.
+	hearsay bool
+}
+
+// bars says whether a report is one that the removal has overtaken.
+func (r removal) bars(instance *cvinstance.Instance) bool {
+	if r.hearsay {
+		return r.last.Newer(instance)
+	}
+	return !instance.Newer(r.last)
 }
 
 func (f *Fleet) init() {
@@ -47,7 +57,7 @@
 func (f *Fleet) Put(now time.Time, instance *cvinstance.Instance) bool {
 	f.init()
 	id := instance.ID()
-	if gone, ok := f.removed[id]; ok && !instance.Newer(gone.last) {
+	if gone, ok := f.removed[id]; ok && gone.bars(instance) {
 		return false
 	}
 	known := f.present[id]
@@ -92,6 +102,20 @@
 	delete(f.lapsed, id)
 }
 
+// ReplaceHeard takes a whole reading that another balancer has made: what it lacks is gone, but the same report may come back,
+// as that reading may have been behind. It returns whether the set changed.
+func (f *Fleet) ReplaceHeard(now time.Time, instances []*cvinstance.Instance) bool {
+	before := f.Instances()
+	changed := f.Replace(now, instances)
+	for _, i := range before {
+		if gone, ok := f.removed[i.ID()]; ok && f.present[i.ID()] == nil {
+			gone.hearsay = true
+			f.removed[i.ID()] = gone
+		}
+	}
+	return changed
+}
+
 // Replace takes a whole reading of the directory: instances that it lacks are gone. It returns whether the set changed.
 func (f *Fleet) Replace(now time.Time, instances []*cvinstance.Instance) bool {
 	f.init()
--- a/core/cvfleet/cvfleet_test.go
+++ b/core/cvfleet/cvfleet_test.go
@@ -144,3 +144,32 @@
 		}
 	})
 }
+
+// TestReplaceHeard lets an instance come back, by the report that was known, that another balancer's reading lacked; an
+// older report does not bring it back, nor does a report bring back what the own reading lacked.
+func TestReplaceHeard(t *testing.T) {
+	now := time.Unix(1000, 0)
+	report := func(sequence int64) *cvinstance.Instance {
+		return cvinstance.New("a", "g", "1.2.3.4:5", "dc", 4).WithOrder(1, sequence)
+	}
+	cases := map[string]struct {
+		replace  func(f *cvfleet.Fleet, now time.Time, instances []*cvinstance.Instance) bool
+		sequence int64
+		back     bool
+	}{
+		"heard, the same report":   {(*cvfleet.Fleet).ReplaceHeard, 5, true},
+		"heard, a newer report":    {(*cvfleet.Fleet).ReplaceHeard, 6, true},
+		"heard, an older report":   {(*cvfleet.Fleet).ReplaceHeard, 4, false},
+		"own reading, the same":    {(*cvfleet.Fleet).Replace, 5, false},
+		"own reading, a newer one": {(*cvfleet.Fleet).Replace, 6, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := &cvfleet.Fleet{}
+			require.True(t, f.Put(now, report(5)))
+			require.True(t, c.replace(f, now, nil))
+			require.Empty(t, f.Instances())
+			require.Equal(t, c.back, f.Put(now, report(c.sequence)))
+		})
+	}
+}
--- a/io/balancers/cvnode/cvnode.go
+++ b/io/balancers/cvnode/cvnode.go
@@ -98,7 +98,9 @@
 	routesRead, upstreamsRead, readFailed time.Time
 	// routesKept and upstreamsKept are the last records of the directories, for other balancers.
 	routesKept, upstreamsKept kept
-	fleet                     cvfleet.Fleet
+	// upstreamsTaken says that the directory of upstreams was read in this process's life.
+	upstreamsTaken bool
+	fleet          cvfleet.Fleet
 	// othersReached is when another balancer said last that it can read the directory.
 	othersReached time.Time
 	groups        map[string]*cvslots.Slots
--- a/io/balancers/cvnode/cvnode_test.go
+++ b/io/balancers/cvnode/cvnode_test.go
@@ -1,6 +1,7 @@
 package cvnode_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -12,6 +13,8 @@
 	sdk "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
+	"comfreyvale"
+	"comfreyvale/io/peers/cvrelay"
 	"comfreyvale/io/standins/cvfaulty"
 	"comfreyvale/io/standins/cvmemdirectory"
 )
@@ -253,6 +256,35 @@
 	}, 30*time.Second, time.Millisecond)
 }
 
+// stuck is a directory whose reads are not answered.
+type stuck struct{}
+
+func (stuck) Newest(ctx context.Context) (comfreyvale.Changes, error) {
+	<-ctx.Done()
+	return comfreyvale.Changes{}, ctx.Err()
+}
+
+func (s stuck) Follow(ctx context.Context, _ int64, _ time.Duration) (comfreyvale.Changes, error) {
+	return s.Newest(ctx)
+}
+
+func (stuck) String() string { return "stuck" }
+
+// TestNothingReadYet has a balancer that has read nothing yet not tell others that there are no upstreams.
+func TestNothingReadYet(t *testing.T) {
+	d := newDeployment(t)
+	d.nodeReading(stuck{}, stuck{})
+	peer := fmt.Sprintf("127.0.1.1:%d", d.ports[2])
+	require.Eventually(t, func() bool {
+		s, err := (&cvrelay.Relay{}).Fetch(context.Background(), peer, 0)
+		if err != nil {
+			return false
+		}
+		require.True(t, s.GetDirectoryAway())
+		return true
+	}, 30*time.Second, time.Millisecond)
+}
+
 // TestPoisonRequest sends a request that crashes each upstream that runs it again and again through two balancers: most
 // upstreams survive, and one that only breaks connections is not taken for crashed.
 func TestPoisonRequest(t *testing.T) {
--- a/io/balancers/cvnode/directories.go
+++ b/io/balancers/cvnode/directories.go
@@ -71,6 +71,7 @@
 func (n *Node) upstreamsChanged(now time.Time, whole bool, changes comfreyvale.Changes) {
 	n.mu.Lock()
 	changed := false
+	n.upstreamsTaken = true
 	if whole {
 		changed = n.fleet.Replace(now, n.readInstances(changes.Records()))
 	} else {
--- a/io/balancers/cvnode/news.go
+++ b/io/balancers/cvnode/news.go
@@ -31,7 +31,7 @@
 		message.Stopping = n.stopping.Load()
 		n.tellReading(now, message)
 		n.mu.Lock()
-		message.DirectoryAway = n.fleet.IsAway()
+		message.DirectoryAway = n.isAway()
 		n.mu.Unlock()
 	}
 	n.tellDeaths(now, message)
--- a/io/balancers/cvnode/relay.go
+++ b/io/balancers/cvnode/relay.go
@@ -21,7 +21,7 @@
 func (n *Node) snapshot(have int64) *cvwire.Snapshot {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	s := &cvwire.Snapshot{DirectoryAway: n.fleet.IsAway()}
+	s := &cvwire.Snapshot{DirectoryAway: n.isAway()}
 	if t := n.routes.Load(); t != nil {
 		s.Version = t.Version()
 		if t.Version() > have {
@@ -37,6 +37,10 @@
 	return s
 }
 
+// isAway says whether this balancer cannot tell which upstreams are gone: its directory is out of reach, or was not read yet.
+// The caller holds the lock.
+func (n *Node) isAway() bool { return n.fleet.IsAway() || !n.upstreamsTaken }
+
 // relay asks another balancer for what this one cannot read itself.
 func (n *Node) relay(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -122,7 +126,7 @@
 			changed = n.fleet.Put(now, i) || changed
 		}
 	} else {
-		changed = n.fleet.Replace(now, found)
+		changed = n.fleet.ReplaceHeard(now, found)
 	}
 	n.mu.Unlock()
 	if changed {
