Follow the directories at the pace of the deployment's bounds; fewer empty lines

Cause: the settings drain, apply and stable were read by nothing; waits and pauses were constants made for the usual bounds, so that a deployment with tighter ones would have missed them. Ruled out: longer waits where bounds are wider; they save next to no calls, so that the old figures are the upper ends. At the usual bounds nothing differs. A socket error of the news gets its line.

--- a/core/cvterms/cvterms.go
+++ b/core/cvterms/cvterms.go
@@ -3,6 +3,15 @@
 
 import "time"
 
+const (
+	// longestReadWait is how long a read of a directory waits at most: longer waits save no calls worth having.
+	longestReadWait = 1800 * time.Millisecond
+	// longestReadPause is the pause after a reading at most, for the same reason.
+	longestReadPause = 400 * time.Millisecond
+	// longestAskPause is the pause between two looks at what others know at most: a look costs nothing but its message.
+	longestAskPause = 600 * time.Millisecond
+)
+
 // Terms are a deployment's bounds. It never changes.
 type Terms struct {
 	drain        time.Duration
@@ -71,6 +80,21 @@
 // Stable is the time after which everything runs as usual behind a disruption.
 func (t Terms) Stable() time.Duration { return t.stable }
 
+// ReadWait is how long a read of a directory waits for a record: a read that the platform has forgotten is noticed only when
+// it is overdue, which leaves two fifths of the time after which everything runs as usual for the next one.
+func (t Terms) ReadWait() time.Duration { return min(t.stable*3/5, longestReadWait) }
+
+// ReadPause is the pause after a reading that brought records, in which further ones gather: a fifth of the time in which
+// changes must be in force, of which reading and applying take a tenth.
+func (t Terms) ReadPause() time.Duration { return min(t.change()/5, longestReadPause) }
+
+// AskPause is the time between two looks whether other balancers know what this one cannot read: a third of the time in which
+// changes must be in force.
+func (t Terms) AskPause() time.Duration { return min(t.change()*3/10, longestAskPause) }
+
+// change is the time in which changes must be in force, of the configuration and of upstreams.
+func (t Terms) change() time.Duration { return min(t.drain, t.apply) }
+
 // RetryRatio is how many further tries each request allows.
 func (t Terms) RetryRatio() float64 { return t.retryRatio }
 
--- a/io/balancers/cvnode/cvnode_test.go
+++ b/io/balancers/cvnode/cvnode_test.go
@@ -147,6 +147,25 @@
 	require.Positive(t, b.Total())
 }
 
+// TestChangeLines writes one line for an upstream that comes or begins to leave, and none for a report that changes nothing.
+func TestChangeLines(t *testing.T) {
+	d := newDeployment(t)
+	d.server("a", "g")
+	d.publish(1, safe("g"))
+	n := d.node()
+	n.awaitReady(t)
+	n.serves(t, "/safe/x", http.StatusOK)
+	before := n.lines.count("upstreams changed")
+	for sequence := range int64(3) {
+		reads := d.upstreams.Reads()
+		d.enter("a", "g", false, sequence+2)
+		require.Eventually(t, func() bool { return d.upstreams.Reads() > reads }, 30*time.Second, time.Millisecond)
+	}
+	d.server("b", "g")
+	require.Eventually(t, func() bool { return n.lines.count("upstreams changed") > before }, 30*time.Second, time.Millisecond)
+	require.Equal(t, before+1, n.lines.count("upstreams changed"))
+}
+
 // TestTimeout gives the final answer at the route's timeout or the caller's, whichever comes first, and ends the work.
 func TestTimeout(t *testing.T) {
 	d := newDeployment(t)
--- a/io/balancers/cvnode/directories.go
+++ b/io/balancers/cvnode/directories.go
@@ -15,8 +15,9 @@
 func (n *Node) newWatches() (routes, upstreams *cvwatch.Watch) {
 	ofRoutes := n.share(routesDirectory, n.Configuration, &n.routesRead)
 	ofUpstreams := n.share(upstreamsDirectory, n.Upstreams, &n.upstreamsRead)
-	routes = &cvwatch.Watch{Directory: ofRoutes, Logger: n.Logger, Reached: func(time.Time, bool) {}, Changed: n.routesChanged}
-	upstreams = &cvwatch.Watch{Directory: ofUpstreams, Logger: n.Logger, Reached: n.upstreamsReached, Changed: n.upstreamsChanged}
+	wait, pause := n.terms().ReadWait(), n.terms().ReadPause()
+	routes = &cvwatch.Watch{Directory: ofRoutes, Wait: wait, Pause: pause, Logger: n.Logger, Reached: func(time.Time, bool) {}, Changed: n.routesChanged}
+	upstreams = &cvwatch.Watch{Directory: ofUpstreams, Wait: wait, Pause: pause, Logger: n.Logger, Reached: n.upstreamsReached, Changed: n.upstreamsChanged}
 	return routes, upstreams
 }
 
@@ -148,6 +149,10 @@
 	n.index(byGroup)
 	n.counters.SetUpstreams(ready, draining, lapsed)
 	added, removed, nowDraining := compare(before, after)
+	if len(added)+len(removed)+len(nowDraining) == 0 {
+		// A report's number, or what is left of a slow start: nothing that anybody believes has changed.
+		return
+	}
 	n.Logger.WithFields(log.Fields{
 		"ready": ready, "draining": draining, "lapsed": lapsed, "added": added, "removed": removed, "nowDraining": nowDraining,
 	}).Info("upstreams changed")
--- a/io/balancers/cvnode/relay.go
+++ b/io/balancers/cvnode/relay.go
@@ -13,10 +13,6 @@
 	"comfreyvale/io/balancers/cvpause"
 )
 
-// relayTime is the time between two looks whether others know what this balancer cannot read: a third of the time in which
-// a configuration must be in force.
-const relayTime = 600 * time.Millisecond
-
 // snapshot is what this balancer knows of the directories.
 func (n *Node) snapshot(have int64) *cvwire.Snapshot {
 	n.mu.Lock()
@@ -47,7 +43,7 @@
 		if address := n.helper(); address != "" {
 			n.fetch(ctx, address)
 		}
-		cvpause.For(ctx, relayTime)
+		cvpause.For(ctx, n.terms().AskPause())
 	}
 	return nil
 }
--- a/io/balancers/cvnode/watching.go
+++ b/io/balancers/cvnode/watching.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// readTime is how long ago another balancer may have read the directories to count as their reader: a read's longest
-	// wait, its pause, and two whole messages.
-	readTime = 3500 * time.Millisecond
+	// readMargin is what another balancer's last reading of the directories may be older than a read's wait and its pause, and
+	// still count: two whole messages, and their way.
+	readMargin = 1300 * time.Millisecond
 	// unreadableTime is how long a balancer whose read failed leaves reading to others before it tries again: some outages
 	// of a few seconds, at the price of a refused read each.
 	unreadableTime = 5 * time.Second
@@ -65,11 +65,12 @@
 
 // share returns a directory that one balancer of each data centre reads for all.
 func (n *Node) share(name string, own comfreyvale.Directory, read *time.Time) *cvshared.Directory {
+	within := n.terms().ReadWait() + n.terms().ReadPause() + readMargin
 	return &cvshared.Directory{
 		Own: own, Logger: n.Logger,
 		Reader: n.isReader,
 		Ahead: func(now time.Time, from int64) (string, bool) {
-			routes, upstreams, covered := n.news.Ahead(now, readTime, from, from)
+			routes, upstreams, covered := n.news.Ahead(now, within, from, from)
 			if name == routesDirectory {
 				return routes, covered
 			}
--- a/io/peers/cvnews/cvnews.go
+++ b/io/peers/cvnews/cvnews.go
@@ -251,7 +251,9 @@
 			return nil
 		}
 		if err != nil {
-			// An earlier datagram met a closed port; its sender's silence is noticed elsewhere.
+			// The socket may go on working; the pause keeps one that does not from taking a core.
+			n.Logger.WithError(err).Warn("news cannot be received")
+			time.Sleep(nearInterval)
 			continue
 		}
 		message := &cvwire.News{}
--- a/io/store/cvwatch/cvwatch.go
+++ b/io/store/cvwatch/cvwatch.go
@@ -14,15 +14,9 @@
 )
 
 const (
-	// followWait is how long a read waits for a record. A read that the service has forgotten is noticed only when it is
-	// overdue, which must be within the three seconds after which everything is expected to work again.
-	followWait = 1800 * time.Millisecond
 	// lostFailures is how many readings in a row must fail before the directory counts as out of reach: one may be a
 	// read that the service forgot.
 	lostFailures = 2
-	// settleTime is the pause after a reading that brought records, in which further ones gather. A change must be in
-	// force two seconds after its acknowledgement; reading and applying take a tenth of that.
-	settleTime = 400 * time.Millisecond
 	// firstBackoff and lastBackoff are the pauses between failed readings. The last is below the time by which a VM that
 	// reaches the directory again must have read it.
 	firstBackoff = 150 * time.Millisecond
@@ -33,6 +27,8 @@
 type Watch struct {
 	// Directory is what is read.
 	Directory comfreyvale.Directory
+	// Wait is how long a read waits for a record, and Pause the pause after a reading, in which further records gather.
+	Wait, Pause time.Duration
 	// Changed takes records; whole says that keys which are not among them are gone.
 	Changed func(now time.Time, whole bool, changes comfreyvale.Changes)
 	// Reached is told after each reading that succeeded, and when the directory is out of reach.
@@ -70,7 +66,7 @@
 		w.take(changes, true)
 		return nil
 	}
-	wait := followWait
+	wait := w.Wait
 	if w.failed > 0 {
 		// The first read after an outage only has to show that the directory is back.
 		wait = 0
@@ -108,7 +104,7 @@
 		if !w.known {
 			return 0
 		}
-		return settleTime
+		return w.Pause
 	}
 	w.failed++
 	if w.failed == 1 {
--- a/io/store/cvwatch/cvwatch_test.go
+++ b/io/store/cvwatch/cvwatch_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/goleak"
 
 	"comfreyvale"
+	"comfreyvale/core/cvterms"
 	"comfreyvale/io/standins/cvmemdirectory"
 	"comfreyvale/io/store/cvwatch"
 )
@@ -52,7 +53,8 @@
 
 func watch(t *testing.T, directory *cvmemdirectory.Directory) *seen {
 	s := &seen{values: make(map[string]string)}
-	w := &cvwatch.Watch{Directory: directory, Changed: s.changed, Reached: s.noteReached, Logger: &log.Logger{Handler: discard.Default}}
+	terms := cvterms.New()
+	w := &cvwatch.Watch{Directory: directory, Wait: terms.ReadWait(), Pause: terms.ReadPause(), Changed: s.changed, Reached: s.noteReached, Logger: &log.Logger{Handler: discard.Default}}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
 	go func() { done <- w.Run(ctx) }()
