--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -77,7 +77,7 @@
 }
 
 func (p *player) kill(ctx context.Context, t turn) {
-	b, release := p.take(t.draws.IntN(balancerCount))
+	b, release := p.take(t.draws.IntN(*balancers))
 	if b == nil {
 		return
 	}
@@ -110,7 +110,7 @@
 
 // stop stops a process by plan, with further signals meanwhile, and starts the next one.
 func (p *player) stop(ctx context.Context, t turn) {
-	b, release := p.take(t.draws.IntN(balancerCount))
+	b, release := p.take(t.draws.IntN(*balancers))
 	if b == nil {
 		return
 	}
@@ -128,7 +128,7 @@
 }
 
 func (p *player) pause(ctx context.Context, t turn) {
-	b, release := p.take(t.draws.IntN(balancerCount))
+	b, release := p.take(t.draws.IntN(*balancers))
 	if b == nil {
 		return
 	}
@@ -139,7 +139,7 @@
 }
 
 func (p *player) reload(ctx context.Context, t turn) {
-	b, release := p.take(t.draws.IntN(balancerCount))
+	b, release := p.take(t.draws.IntN(*balancers))
 	if b == nil {
 		return
 	}
@@ -158,7 +158,7 @@
 }
 
 func (p *player) storeLink(ctx context.Context, t turn) {
-	over(ctx, p.w.stores[t.draws.IntN(balancerCount)], t)
+	over(ctx, p.w.stores[t.draws.IntN(*balancers)], t)
 }
 
 func (p *player) storeAway(ctx context.Context, t turn) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,12 +19,13 @@
 )
 
 var (
-	first   = flag.Uint64("first", 1, "the first seed")
-	seeds   = flag.Uint64("seeds", 1, "the number of seeds")
-	length  = flag.Duration("length", 8*time.Second, "how long faults are played for each seed")
-	keep    = flag.Bool("keep", false, "keep the balancers' lines also when no promise was broken")
-	binary  string
-	regress = map[uint64]string{
+	first     = flag.Uint64("first", 1, "the first seed")
+	seeds     = flag.Uint64("seeds", 1, "the number of seeds")
+	length    = flag.Duration("length", 8*time.Second, "how long faults are played for each seed")
+	balancers = flag.Int("balancers", 3, "the number of balancers of each seed")
+	keep      = flag.Bool("keep", false, "keep the balancers' lines also when no promise was broken")
+	binary    string
+	regress   = map[uint64]string{
 		16:  "a signal in the last moments of a planned stop ended the process",
 		120: "a balancer that had read nothing yet told another one that all upstreams were gone",
 	}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -26,7 +26,6 @@
 )
 
 const (
-	balancerCount = 3
 	upstreamCount = 6
 	// requestTime is what callers give a request, and what routes allow it.
 	requestTime = 1500 * time.Millisecond
@@ -104,7 +103,7 @@
 		w.addUpstream()
 	}
 	w.publish()
-	for i := range balancerCount {
+	for i := range *balancers {
 		w.stores = append(w.stores, newProxy(t, strings.TrimPrefix(server.URL, "http://")))
 		w.balancers = append(w.balancers, w.newBalancer(i, subnet))
 	}
