--- a/io/balancers/cvnode/cvnode_test.go
+++ b/io/balancers/cvnode/cvnode_test.go
@@ -249,6 +249,39 @@
 	}
 }
 
+// TestReadLines writes a line when a balancer can no longer read, which others may hide, and one when it can again.
+func TestReadLines(t *testing.T) {
+	d := newDeployment(t)
+	d.server("a", "g")
+	d.publish(1, safe("g"))
+	n := d.node()
+	n.awaitReady(t)
+	for round := 1; round <= 2; round++ {
+		d.routes.SetDown(true)
+		require.Eventually(t, func() bool { return n.lines.count("own read failed") == round }, 30*time.Second, time.Millisecond)
+		d.routes.SetDown(false)
+		require.Eventually(t, func() bool { return n.lines.count("own reads work again") == round }, 30*time.Second, time.Millisecond)
+	}
+}
+
+// TestOver sends nothing for a request whose time is up when it comes, and says so at once.
+func TestOver(t *testing.T) {
+	d := newDeployment(t)
+	u := d.server("a", "g")
+	d.publish(1, safe("g"), once("g"))
+	n := d.node()
+	n.awaitReady(t)
+	n.serves(t, "/safe/warm", http.StatusOK)
+	before := u.Total()
+	for name, path := range map[string]string{"safe": "/safe/x", "once": "/once/x"} {
+		response, _ := n.ask(t, http.MethodPost, path, name, 1)
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		require.Equal(t, []string{"refused", "request"}, n.lines.about(name))
+		require.Equal(t, comfreyvale.CauseDeadline, n.lines.whole(name)[0]["cause"])
+	}
+	require.Equal(t, before, u.Total())
+}
+
 // TestStartInAnOutage serves by what other balancers know when the directories cannot be read, and hears of changes and
 // leaving upstreams through those that can.
 func TestStartInAnOutage(t *testing.T) {
--- a/io/balancers/cvnode/request.go
+++ b/io/balancers/cvnode/request.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
@@ -18,6 +19,7 @@
 	"comfreyvale/core/cvfault"
 	"comfreyvale/core/cvmessage"
 	"comfreyvale/core/cvroute"
+	"comfreyvale/io/callers/cvcaller"
 	"comfreyvale/io/callers/cvheader"
 	"comfreyvale/io/upstreams/cvslots"
 )
@@ -181,6 +183,15 @@
 	return comfreyvale.NewAnswer(status, http.Header{e.node.Signs.RequestID: {e.message.ID()}}, nil)
 }
 
+// over ends a request whose time is up, or whose caller has left, before an upstream got it.
+func (e *exchange) over(ctx context.Context) comfreyvale.Answer {
+	e.cause, e.reason = comfreyvale.CauseDeadline, "its time was up before it could be sent"
+	if errors.Is(context.Cause(ctx), cvcaller.ErrCallerGone) {
+		e.cause, e.reason = comfreyvale.CauseCallerGone, "its caller left before it could be sent"
+	}
+	return e.final()
+}
+
 // noSlot ends a request for which there is no slot.
 func (e *exchange) noSlot(err error) comfreyvale.Answer {
 	e.reason, e.cause = err.Error(), slotCause(err)
--- a/io/balancers/cvnode/tries.go
+++ b/io/balancers/cvnode/tries.go
@@ -123,6 +123,9 @@
 func (e *exchange) run(ctx context.Context) comfreyvale.Answer {
 	ctx, cancel := context.WithDeadline(ctx, e.deadline.Add(-answerTime))
 	defer cancel()
+	if ctx.Err() != nil {
+		return e.over(ctx)
+	}
 	ended := make(chan *try, maxTries)
 	if err := e.send(ctx, ended); err != nil {
 		return e.noSlot(err)
@@ -151,6 +154,9 @@
 			if final, ok := e.again(t.verdict); !ok {
 				return final
 			}
+			if ctx.Err() != nil {
+				return e.over(ctx)
+			}
 			if err := e.send(ctx, ended); err != nil {
 				return e.noSlot(err)
 			}
--- a/io/balancers/cvnode/watching.go
+++ b/io/balancers/cvnode/watching.go
@@ -79,15 +79,27 @@
 		Fetch: func(ctx context.Context, address string, from int64) (comfreyvale.Changes, error) {
 			return n.fetchRecords(ctx, address, name, from)
 		},
-		Tried: func(now time.Time, err error) {
-			n.mu.Lock()
-			defer n.mu.Unlock()
-			if err != nil {
-				n.readFailed = now
-				return
-			}
-			*read, n.readFailed = now, time.Time{}
-		},
+		Tried: func(now time.Time, err error) { n.tried(now, name, read, err) },
+	}
+}
+
+// tried notes how a read of a directory from the platform itself ended, with a line when this balancer can no longer read or
+// can again; meanwhile others may read for it.
+func (n *Node) tried(now time.Time, directory string, read *time.Time, err error) {
+	n.mu.Lock()
+	failed := n.readFailed
+	if err != nil {
+		n.readFailed = now
+	} else {
+		*read, n.readFailed = now, time.Time{}
+	}
+	n.mu.Unlock()
+	line := n.Logger.WithField("directory", directory)
+	switch {
+	case err != nil && failed.IsZero():
+		line.WithError(err).Warn("own read failed")
+	case err == nil && !failed.IsZero():
+		line.WithField("lastFailedMs", now.Sub(failed).Milliseconds()).Info("own reads work again")
 	}
 }
 
