--- a/io/store/cvshared/cvshared.go
+++ b/io/store/cvshared/cvshared.go
@@ -43,12 +43,16 @@
 // Newest returns the newest record of each key, from the platform.
 func (d *Directory) Newest(ctx context.Context) (comfreyvale.Changes, error) {
 	changes, err := d.Own.Newest(ctx)
-	d.tried(err)
+	d.tried(ctx, err)
 	return changes, err
 }
 
-// tried tells how a read of the platform's directory ended. An answer that records are gone is an answer.
-func (d *Directory) tried(err error) {
+// tried tells how a read of the platform's directory ended. An answer that records are gone is an answer; a read that ended
+// with the process says nothing.
+func (d *Directory) tried(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
 	if cvfault.KindOf(err) == comfreyvale.KindNotFound {
 		err = nil
 	}
@@ -106,7 +110,7 @@
 	for behind := 0; ; {
 		select {
 		case a := <-answers:
-			d.tried(a.err)
+			d.tried(ctx, a.err)
 			return a.changes, a.err
 		case now := <-ticker.C:
 			address, _ := d.Ahead(now, from)
@@ -118,7 +122,7 @@
 				continue
 			}
 			if changes, ok := d.fetch(ctx, address, from); ok {
-				d.overdue(address, from)
+				d.overdue(ctx, address, from)
 				return changes, nil
 			}
 			behind = 0
@@ -127,10 +131,10 @@
 }
 
 // overdue notes that the platform's directory left out an answer that another balancer has had.
-func (d *Directory) overdue(peer string, from int64) {
+func (d *Directory) overdue(ctx context.Context, peer string, from int64) {
 	err := fault{cvfault.New("follow", comfreyvale.KindTimeout, errors.New("another balancer has had the answer for some time"))}
 	d.Logger.WithFields(log.Fields{"directory": d.String(), "peer": peer, "from": from}).WithError(err).Info("read given up, the peer's records are taken")
-	d.tried(err)
+	d.tried(ctx, err)
 }
 
 // String names the directory.
--- a/io/store/cvshared/cvshared_test.go
+++ b/io/store/cvshared/cvshared_test.go
@@ -87,4 +87,9 @@
 	_, err = s.directory(own).Newest(context.Background())
 	require.Error(t, err)
 	require.Equal(t, []bool{true, false, false}, s.tried)
+	ended, end := context.WithCancel(context.Background())
+	end()
+	_, err = s.directory(own).Newest(ended)
+	require.Error(t, err)
+	require.Len(t, s.tried, 3, "a read that ended with the process")
 }
