--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -182,6 +182,16 @@
 	return b.life
 }
 
+// listens says whether the process takes connections.
+func (b *balancer) listens() bool {
+	conn, err := b.dial()
+	if err != nil {
+		return false
+	}
+	conn.Close()
+	return true
+}
+
 func (b *balancer) isReady() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Get("http://" + b.ready + "/ready")
