Tests: call what stood already, and merge what stood twice

Cause: reading the change again. The soak had its own wait, which is cvpause.For, and its own cmp.Or; four of its faults began with the same lines; its proxy read its state in two ways; the time at which an upstream began to leave was only asked whether it was set. Five tests of cvnode started the same deployment of one upstream and one node. Ruled out: merging Load and Parse of the two settings packages, whose shared part is cvvmsettings already; generated code and import lists among the pairs found. Change: these call one piece each; draws come in the same order, so that seeds play the same. Assertions are as they were, and no code of the product is touched.

--- a/io/balancers/cvnode/cvnode_test.go
+++ b/io/balancers/cvnode/cvnode_test.go
@@ -149,12 +149,7 @@
 
 // TestChangeLines writes one line for an upstream that comes or begins to leave, and none for a report that changes nothing.
 func TestChangeLines(t *testing.T) {
-	d := newDeployment(t)
-	d.server("a", "g")
-	d.publish(1, safe("g"))
-	n := d.node()
-	n.awaitReady(t)
-	n.serves(t, "/safe/x", http.StatusOK)
+	d, _, n := serving(t, safe("g"))
 	before := n.lines.count("upstreams changed")
 	for sequence := range int64(3) {
 		reads := d.upstreams.Reads()
@@ -168,12 +163,7 @@
 
 // TestTimeout gives the final answer at the route's timeout or the caller's, whichever comes first, and ends the work.
 func TestTimeout(t *testing.T) {
-	d := newDeployment(t)
-	u := d.server("a", "g")
-	d.publish(1, testRoute{Prefix: "/safe/", Idempotent: true, Timeout: 400 * time.Millisecond, Attempts: 2, Splits: map[string]float64{"g": 1}})
-	n := d.node()
-	n.awaitReady(t)
-	n.serves(t, "/safe/warm", http.StatusOK)
+	_, u, n := serving(t, testRoute{Prefix: "/safe/", Idempotent: true, Timeout: 400 * time.Millisecond, Attempts: 2, Splits: map[string]float64{"g": 1}})
 	u.SetMode(cvfaulty.Silent, false)
 	for name, milliseconds := range map[string]int{"route": 5000, "caller": 200} {
 		began := time.Now()
@@ -206,12 +196,7 @@
 
 // TestStop is not ready at once, answers what it has read, and ends in order.
 func TestStop(t *testing.T) {
-	d := newDeployment(t)
-	u := d.server("a", "g")
-	d.publish(1, safe("g"))
-	n := d.node()
-	n.awaitReady(t)
-	n.serves(t, "/safe/warm", http.StatusOK)
+	_, u, n := serving(t, safe("g"))
 	u.SetMode(cvfaulty.Whole, false)
 	n.stop()
 	require.Eventually(t, func() bool { return !n.isReady() }, 30*time.Second, time.Millisecond)
@@ -225,12 +210,7 @@
 
 // TestLinesOfARequest finds the lines of a request by its id.
 func TestLinesOfARequest(t *testing.T) {
-	d := newDeployment(t)
-	u := d.server("a", "g")
-	d.publish(1, safe("g"), once("g"))
-	n := d.node()
-	n.awaitReady(t)
-	n.serves(t, "/safe/warm", http.StatusOK)
+	_, u, n := serving(t, safe("g"), once("g"))
 	cases := map[string]struct {
 		mode  string
 		lines []string
@@ -266,12 +246,7 @@
 
 // TestOver sends nothing for a request whose time is up when it comes, and says so at once.
 func TestOver(t *testing.T) {
-	d := newDeployment(t)
-	u := d.server("a", "g")
-	d.publish(1, safe("g"), once("g"))
-	n := d.node()
-	n.awaitReady(t)
-	n.serves(t, "/safe/warm", http.StatusOK)
+	_, u, n := serving(t, safe("g"), once("g"))
 	before := u.Total()
 	for name, path := range map[string]string{"safe": "/safe/x", "once": "/once/x"} {
 		response, _ := n.ask(t, http.MethodPost, path, name, 1)
--- a/io/balancers/cvnode/harness_test.go
+++ b/io/balancers/cvnode/harness_test.go
@@ -158,6 +158,17 @@
 	}
 }
 
+// serving returns a deployment of one upstream and one node, which serves the given routes, /safe/ among them.
+func serving(t *testing.T, routes ...testRoute) (*deployment, *cvfaulty.Upstream, *running) {
+	d := newDeployment(t)
+	u := d.server("a", "g")
+	d.publish(1, routes...)
+	n := d.node()
+	n.awaitReady(t)
+	n.serves(t, "/safe/warm", http.StatusOK)
+	return d, u, n
+}
+
 // publish brings a version of routes out.
 func (d *deployment) publish(version int64, routes ...testRoute) {
 	value, err := json.Marshal(testRoutes{Version: version, Routes: routes})
--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"comfreyvale/io/balancers/cvpause"
 	"comfreyvale/platform/cvformat"
 )
 
@@ -58,11 +59,11 @@
 	defer c.leave()
 	for ctx.Err() == nil {
 		if c.conn == nil && !c.connect() {
-			sleep(ctx, 20*time.Millisecond)
+			cvpause.For(ctx, 20*time.Millisecond)
 			continue
 		}
 		c.ask()
-		sleep(ctx, time.Duration(c.draws.IntN(20))*time.Millisecond)
+		cvpause.For(ctx, time.Duration(c.draws.IntN(20))*time.Millisecond)
 	}
 }
 
@@ -204,7 +205,7 @@
 // watchVersions asks a balancer for the paths of versions: in one life of the process none that was replaced comes back.
 func (n *notes) watchVersions(ctx context.Context, w *world, b *balancer) {
 	process, seen := b.now(), int64(0)
-	for ; ctx.Err() == nil; sleep(ctx, 50*time.Millisecond) {
+	for ; ctx.Err() == nil; cvpause.For(ctx, 50*time.Millisecond) {
 		if now := b.now(); now != process {
 			process, seen = now, 0
 		}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"comfreyvale/io/balancers/cvpause"
 	"comfreyvale/io/standins/cvfaulty"
 	"comfreyvale/platform/cvformat"
 )
@@ -61,7 +62,7 @@
 		t := turn{draws: draws, time: 100*time.Millisecond + time.Duration(draws.IntN(2500))*time.Millisecond}
 		p.w.t.Logf("seed %d, %5.2f s: %s for %s", p.w.seed, time.Since(p.w.began).Seconds(), name, t.time)
 		faults[name](p, ctx, t)
-		sleep(ctx, time.Duration(draws.IntN(600))*time.Millisecond)
+		cvpause.For(ctx, time.Duration(draws.IntN(600))*time.Millisecond)
 	}
 }
 
@@ -76,16 +77,21 @@
 	}
 }
 
-func (p *player) kill(ctx context.Context, t turn) {
-	b, release := p.take(t.draws.IntN(*balancers))
-	if b == nil {
-		return
+// with does something to the process of a drawn balancer, unless another lane is at it.
+func (p *player) with(t turn, do func(b *balancer)) {
+	if b, release := p.take(t.draws.IntN(*balancers)); b != nil {
+		defer release()
+		do(b)
 	}
-	defer release()
-	b.signal(syscall.SIGKILL)
-	b.ended()
-	sleep(ctx, t.time)
-	p.w.start(b)
+}
+
+func (p *player) kill(ctx context.Context, t turn) {
+	p.with(t, func(b *balancer) {
+		b.signal(syscall.SIGKILL)
+		b.ended()
+		cvpause.For(ctx, t.time)
+		p.w.start(b)
+	})
 }
 
 func (p *player) killAll(ctx context.Context, t turn) {
@@ -102,7 +108,7 @@
 	for _, b := range taken {
 		b.ended()
 	}
-	sleep(ctx, t.time/2)
+	cvpause.For(ctx, t.time/2)
 	for _, b := range taken {
 		p.w.start(b)
 	}
@@ -110,52 +116,43 @@
 
 // stop stops a process by plan, with further signals meanwhile, and starts the next one.
 func (p *player) stop(ctx context.Context, t turn) {
-	b, release := p.take(t.draws.IntN(*balancers))
-	if b == nil {
-		return
-	}
-	defer release()
-	// A process that does not listen yet may not have begun to take signals: it ends, and there is nothing that it could cut.
-	listens := b.listens()
-	told := time.Now()
-	b.signal(syscall.SIGTERM)
-	for range t.draws.IntN(3) {
-		sleep(ctx, time.Duration(t.draws.IntN(200))*time.Millisecond)
-		b.signal([]syscall.Signal{syscall.SIGTERM, syscall.SIGHUP}[t.draws.IntN(2)])
-	}
-	if state := b.ended(); !state.Success() && (listens || state.Sys().(syscall.WaitStatus).Signal() != syscall.SIGTERM) {
-		p.n.violated("%s ended a planned stop at %.2f s, %s after its start, with %s", b.name, time.Since(p.w.began).Seconds(), told.Sub(b.now().began), state)
-	}
-	p.w.start(b)
+	p.with(t, func(b *balancer) {
+		// A process that does not listen yet may not have begun to take signals: it ends, and there is nothing that it could cut.
+		listens := b.listens()
+		told := time.Now()
+		b.signal(syscall.SIGTERM)
+		for range t.draws.IntN(3) {
+			cvpause.For(ctx, time.Duration(t.draws.IntN(200))*time.Millisecond)
+			b.signal([]syscall.Signal{syscall.SIGTERM, syscall.SIGHUP}[t.draws.IntN(2)])
+		}
+		if state := b.ended(); !state.Success() && (listens || state.Sys().(syscall.WaitStatus).Signal() != syscall.SIGTERM) {
+			p.n.violated("%s ended a planned stop at %.2f s, %s after its start, with %s", b.name, time.Since(p.w.began).Seconds(), told.Sub(b.now().began), state)
+		}
+		p.w.start(b)
+	})
 }
 
 func (p *player) pause(ctx context.Context, t turn) {
-	b, release := p.take(t.draws.IntN(*balancers))
-	if b == nil {
-		return
-	}
-	defer release()
-	b.signal(syscall.SIGSTOP)
-	sleep(ctx, t.time)
-	b.signal(syscall.SIGCONT)
+	p.with(t, func(b *balancer) {
+		b.signal(syscall.SIGSTOP)
+		cvpause.For(ctx, t.time)
+		b.signal(syscall.SIGCONT)
+	})
 }
 
 func (p *player) reload(ctx context.Context, t turn) {
-	b, release := p.take(t.draws.IntN(*balancers))
-	if b == nil {
-		return
-	}
-	defer release()
-	for range 1 + t.draws.IntN(3) {
-		b.signal(syscall.SIGHUP)
-		sleep(ctx, t.time/10)
-	}
+	p.with(t, func(b *balancer) {
+		for range 1 + t.draws.IntN(3) {
+			b.signal(syscall.SIGHUP)
+			cvpause.For(ctx, t.time/10)
+		}
+	})
 }
 
 // over changes what a proxy does for a time.
 func over(ctx context.Context, q *proxy, t turn) {
 	q.set([]weather{delayed, reset, silent, deafTarget, muteTarget}[t.draws.IntN(5)])
-	sleep(ctx, t.time)
+	cvpause.For(ctx, t.time)
 	q.set(calm)
 }
 
@@ -165,7 +162,7 @@
 
 func (p *player) storeAway(ctx context.Context, t turn) {
 	p.w.store.Refuse(http.StatusServiceUnavailable)
-	sleep(ctx, t.time)
+	cvpause.For(ctx, t.time)
 	p.w.store.Refuse(0)
 }
 
@@ -184,7 +181,7 @@
 func (p *player) configurations(ctx context.Context, t turn) {
 	for range 1 + t.draws.IntN(6) {
 		p.w.publish()
-		sleep(ctx, t.time/6)
+		cvpause.For(ctx, t.time/6)
 	}
 }
 
@@ -199,7 +196,7 @@
 	}
 	u := p.w.upstream(t.draws.IntN(100))
 	u.SetMode(modes[t.draws.IntN(len(modes))], false)
-	sleep(ctx, t.time)
+	cvpause.For(ctx, t.time)
 	u.SetMode(cvfaulty.Whole, false)
 }
 
@@ -208,7 +205,7 @@
 	u := p.w.upstream(t.draws.IntN(100))
 	p.w.addUpstream()
 	u.Stop()
-	sleep(ctx, t.time)
+	cvpause.For(ctx, t.time)
 	p.w.remove(u)
 }
 
@@ -217,7 +214,7 @@
 	u := p.w.upstream(t.draws.IntN(100))
 	p.w.addUpstream()
 	p.w.drain(u)
-	sleep(ctx, 2*t.time)
+	cvpause.For(ctx, 2*t.time)
 	p.w.remove(u)
 	u.Stop()
 }
@@ -226,8 +223,8 @@
 func (w *world) drain(u *upstream) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if u.draining.IsZero() {
-		u.draining = time.Now()
+	if !u.draining {
+		u.draining = true
 		w.enter(u)
 	}
 }
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -105,7 +105,7 @@
 func (p *proxy) carry(source net.Conn) {
 	p.keep(source)
 	defer p.drop(source)
-	if now, _ := p.now(); now == reset {
+	if w, _, _ := p.now(); w == reset {
 		source.(*net.TCPConn).SetLinger(0)
 		return
 	}
@@ -125,10 +125,11 @@
 	<-done
 }
 
-func (p *proxy) now() (weather, chan struct{}) {
+// now is the weather, what is closed when it changes, and whether the proxy is closed.
+func (p *proxy) now() (weather, <-chan struct{}, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.weather, p.changed
+	return p.weather, p.changed, p.closed
 }
 
 // copy carries bytes one way; it holds them back in silence, and in the weather that closes this way.
@@ -154,9 +155,7 @@
 // pass waits until bytes may go on, or returns false when the proxy is closed.
 func (p *proxy) pass(closing weather) bool {
 	for {
-		p.mu.Lock()
-		w, changed, closed := p.weather, p.changed, p.closed
-		p.mu.Unlock()
+		w, changed, closed := p.now()
 		switch {
 		case closed:
 			return false
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -55,10 +56,9 @@
 // run once does, what is said not to have run did not, further tries keep to their budget, planned stops cut nothing, no
 // version that was replaced comes back, and when the faults are over everything works by itself.
 func TestSoak(t *testing.T) {
-	all := map[uint64]string{}
-	maps.Copy(all, regress)
+	all := maps.Clone(regress)
 	for seed := *first; seed < *first+*seeds; seed++ {
-		all[seed] = cmp(all[seed], "drawn")
+		all[seed] = cmp.Or(all[seed], "drawn")
 	}
 	for i, seed := range slices.Sorted(maps.Keys(all)) {
 		t.Run(fmt.Sprintf("seed %d, %s", seed, all[seed]), func(t *testing.T) {
@@ -68,13 +68,6 @@
 	}
 }
 
-func cmp(known, other string) string {
-	if known != "" {
-		return known
-	}
-	return other
-}
-
 func play(t *testing.T, seed uint64, subnet int) {
 	w := newWorld(t, seed, subnet)
 	n := &notes{statuses: make(map[int]int)}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -89,7 +88,7 @@
 	group    string
 	address  string
 	sequence int64
-	draining time.Time
+	draining bool
 }
 
 func newWorld(t *testing.T, seed uint64, subnet int) *world {
@@ -254,7 +253,7 @@
 // enter writes an upstream's entry. The caller holds the lock.
 func (w *world) enter(u *upstream) {
 	u.sequence++
-	i := cvinstance.New(u.ID, u.group, u.address, "dc-0", 8).WithState(!u.draining.IsZero(), 0).WithOrder(1, u.sequence)
+	i := cvinstance.New(u.ID, u.group, u.address, "dc-0", 8).WithState(u.draining, 0).WithOrder(1, u.sequence)
 	value, err := cvstandin.Entry(i)
 	if err != nil {
 		w.t.Errorf("entry of %s: %v", u.ID, err)
@@ -327,13 +326,5 @@
 	return count
 }
 
-// sleep waits, unless the context ends first.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // dial opens a connection to a balancer.
 func (b *balancer) dial() (net.Conn, error) { return net.DialTimeout("tcp", b.address, requestTime) }
