Open the links that were wanted before the links run

Cause: cvpeers.Want forgot the addresses when it was called before Run had begun, and nothing asked again until the roster changed. Balancers that learn of all members in one go would then never be linked. It is one way to the known red start of TestOrdersRunAtMostOnce/freeze,_answers_lost (six members not linked after 40 s), whose lines were not kept, so that it isn't shown to be its cause. Change: Want keeps the addresses and Run dials them. TestLinks names them before Run; it failed with the older code.

--- a/io/peers/cvpeers/cvpeers.go
+++ b/io/peers/cvpeers/cvpeers.go
@@ -60,7 +60,9 @@
 	mu      sync.Mutex
 	links   map[string]*link
 	dialing map[string]context.CancelFunc
-	ctx     context.Context
+	// wanted are the addresses that were named before Run.
+	wanted map[string]string
+	ctx    context.Context
 }
 
 // Run serves links until the context ends.
@@ -69,6 +71,7 @@
 	p.mu.Lock()
 	p.init()
 	p.ctx = ctx
+	p.want(p.wanted)
 	p.mu.Unlock()
 	group.Go(func() error {
 		<-ctx.Done()
@@ -125,8 +128,13 @@
 	defer p.mu.Unlock()
 	p.init()
 	if p.ctx == nil {
+		p.wanted = addresses
 		return
 	}
+	p.want(addresses)
+}
+
+func (p *Peers) want(addresses map[string]string) {
 	for process, stop := range p.dialing {
 		if _, ok := addresses[process]; !ok {
 			stop()
--- a/io/peers/cvpeers/cvpeers_test.go
+++ b/io/peers/cvpeers/cvpeers_test.go
@@ -72,7 +72,7 @@
 	return path
 }
 
-func start(t *testing.T, process string, config *tls.Config) (peers *cvpeers.Peers, address string) {
+func newPeers(t *testing.T, process string, config *tls.Config) (peers *cvpeers.Peers, address string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	p := &cvpeers.Peers{
@@ -81,6 +81,10 @@
 			return &cvwire.PeerReply{Reply: &cvwire.PeerReply_Claim{Claim: &cvwire.ClaimReply{Condition: process + " to " + from}}}
 		},
 	}
+	return p, listener.Addr().String()
+}
+
+func start(t *testing.T, p *cvpeers.Peers) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -91,8 +95,6 @@
 		cancel()
 		<-done
 	})
-	time.Sleep(20 * time.Millisecond)
-	return p, listener.Addr().String()
 }
 
 // TestLinks opens links plain, with one authority, and with two: only the last must not come about.
@@ -109,9 +111,11 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			a, _ := start(t, "a", c.a)
-			b, address := start(t, "b", c.b)
+			a, _ := newPeers(t, "a", c.a)
+			b, address := newPeers(t, "b", c.b)
 			a.Want(map[string]string{"b": address})
+			start(t, a)
+			start(t, b)
 			linked := func() bool { return len(a.Linked()) == 1 && len(b.Linked()) == 1 }
 			if !c.linked {
 				require.Never(t, linked, 400*time.Millisecond, 20*time.Millisecond)
