--- a/core/cvadmission/cvadmission.go
+++ b/core/cvadmission/cvadmission.go
@@ -73,6 +73,7 @@
 func (a *Admission) grant(now time.Time, draw uint64, waiter *cvwaiter.Waiter) (granted, free bool) {
 	var instance *cvinstance.Instance
 	last := a.Selector.LastStart(waiter.Need())
+	a.Selector.Crowded = len(a.waiting) > 0
 	if now.Before(last.Add(-patienceMargin)) || a.crowded(last.Sub(waiter.Entered())) {
 		instance, free = a.Selector.PickTimely(now, draw, waiter.Need())
 	} else {
@@ -116,7 +117,7 @@
 
 // Next grants a slot to the waiting request that needs it most of those that can use one, or returns false.
 func (a *Admission) Next(now time.Time, draw uint64) (*cvwaiter.Waiter, bool) {
-	slices.SortStableFunc(a.waiting, compare)
+	slices.SortStableFunc(a.waiting, func(v, w *cvwaiter.Waiter) int { return a.compare(now, v, w) })
 	for n, w := range a.waiting {
 		if granted, _ := a.grant(now, draw, w); granted {
 			a.waiting = slices.Delete(a.waiting, n, n+1)
@@ -126,12 +127,23 @@
 	return nil, false
 }
 
-// compare orders requests: the more urgent first, then the one whose time ends first.
-func compare(a, b *cvwaiter.Waiter) int {
-	if c := cmp.Compare(a.Need().Priority(), b.Need().Priority()); c != 0 {
+// compare orders requests: those that can still be on time first, then the more urgent, then the one whose time ends first.
+func (a *Admission) compare(now time.Time, v, w *cvwaiter.Waiter) int {
+	if c := cmp.Compare(a.late(now, v), a.late(now, w)); c != 0 {
 		return c
 	}
-	return a.Need().Target().Compare(b.Need().Target())
+	if c := cmp.Compare(v.Need().Priority(), w.Need().Priority()); c != 0 {
+		return c
+	}
+	return v.Need().Target().Compare(w.Need().Target())
+}
+
+// late is 1 for a request that no machine of usual speed answers on time any more, else 0.
+func (a *Admission) late(now time.Time, waiter *cvwaiter.Waiter) int {
+	if now.After(a.Selector.LastStart(waiter.Need())) {
+		return 1
+	}
+	return 0
 }
 
 // Freed notes that a slot came free.
--- a/core/cvadmission/played_test.go
+++ b/core/cvadmission/played_test.go
@@ -55,12 +55,15 @@
 // upstream is one that is played: it knows what runs on it, and how slow its machine is at a time.
 type upstream struct {
 	running int
+	queue   []func(now time.Time)
 	seed    uint64
+	// share is how much of its time the machine is slow.
+	share float64
 }
 
 func (u *upstream) slowness(now time.Time) float64 {
 	epoch := uint64(now.UnixNano()) / uint64(playedEpoch)
-	if rand.New(rand.NewPCG(u.seed, epoch)).Float64() < playedSlowShare {
+	if rand.New(rand.NewPCG(u.seed, epoch)).Float64() < u.share {
 		return playedSlowness
 	}
 	return 1
@@ -84,7 +87,7 @@
 func newPlayer(seed uint64) *player {
 	p := &player{random: rand.New(rand.NewPCG(seed, 1))}
 	for n := range playedUpstreams {
-		p.upstreams = append(p.upstreams, &upstream{seed: seed*1000 + uint64(n)})
+		p.upstreams = append(p.upstreams, &upstream{seed: seed*1000 + uint64(n), share: playedSlowShare})
 	}
 	return p
 }
--- a/core/cvselector/cvselector.go
+++ b/core/cvselector/cvselector.go
@@ -64,6 +64,10 @@
 type Selector struct {
 	// DataCentre is where this balancer runs.
 	DataCentre string
+	// Turn says whether it is this balancer's turn to take what is free on an upstream. Nil is always.
+	Turn func(now time.Time, id string, free int) bool
+
+	Crowded bool
 
 	members  []*member
 	byID     map[string]*member
@@ -122,6 +126,9 @@
 		if slices.Contains(need.Avoid(), m.instance.ID()) || !m.open(now) || s.load(now, m)+1 > usable(m.instance) {
 			continue
 		}
+		if s.Crowded && s.Turn != nil && !m.freed.Equal(now) && !s.Turn(now, m.instance.ID(), int(usable(m.instance)-s.load(now, m))) {
+			continue
+		}
 		expected := s.expected(now, m, need) * (1 + noiseShare*cvdraw.Noise(draw, n))
 		if best == nil || expected < bestTime {
 			best, bestTime = m, expected
@@ -225,6 +232,7 @@
 		return
 	}
 	m.end(began)
+	m.freed = now
 	switch result {
 	case comfreyvale.ResultAnswered:
 		s.answered(now, m, now.Sub(began))
--- a/core/cvselector/member.go
+++ b/core/cvselector/member.go
@@ -11,6 +11,8 @@
 	instance *cvinstance.Instance
 	// begun are the own tries in flight, oldest first.
 	begun []time.Time
+	// freed is when an own try ended last.
+	freed time.Time
 	// peers are the tries in flight of the balancers that tell theirs.
 	peers map[uint64]peerCount
 	// busy is how many requests, of all balancers, were in progress when the upstream reported last.
--- a/io/balancers/cvnode/request.go
+++ b/io/balancers/cvnode/request.go
@@ -48,11 +48,13 @@
 	arrived time.Time
 	// deadline is until when the caller waits, or the route allows.
 	deadline time.Time
-	group    string
-	slots    *cvslots.Slots
-	tried    []string
-	ran      bool
-	last     comfreyvale.Answer
+	// target is until when the answer is on time.
+	target time.Time
+	group  string
+	slots  *cvslots.Slots
+	tried  []string
+	ran    bool
+	last   comfreyvale.Answer
 	// lastTry is the try that ended last, nil before one did.
 	lastTry *try
 	// cause and reason say why no further upstream is tried.
@@ -96,6 +98,7 @@
 		return n.refuse(comfreyvale.CauseQuarantined, id, evidence, lastReturn)
 	}
 	e.slots = n.slots(e.group)
+	e.target = arrived.Add(route.Target() - e.slots.Spent(arrived, route.Name(), e.deadline.Sub(arrived)))
 	e.slots.Begin(time.Now())
 	ctx, span := n.accept(ctx, request, id)
 	answer := e.run(ctx)
--- a/io/balancers/cvnode/tries.go
+++ b/io/balancers/cvnode/tries.go
@@ -169,7 +169,7 @@
 func (e *exchange) need() cvneed.Need {
 	// A third of the tries are quicker than this, which is about the work on a machine of usual speed.
 	work, _ := e.slots.Usual(time.Now(), e.route.Name(), workQuantile)
-	return cvneed.New(e.arrived.Add(e.route.Target()), e.deadline, e.route.Priority(), e.route.Large()).WithWork(work).WithAvoid(e.tried)
+	return cvneed.New(e.target, e.deadline, e.route.Priority(), e.route.Large()).WithWork(work).WithAvoid(e.tried)
 }
 
 // send waits for a slot and starts a try there.
--- a/io/peers/cvnews/cvnews.go
+++ b/io/peers/cvnews/cvnews.go
@@ -6,10 +6,13 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
@@ -24,11 +27,12 @@
 	// nearInterval is the shortest time between two messages of changes within the data centre: a tenth of a request's length.
 	nearInterval = 20 * time.Millisecond
 	// farInterval is the shortest time between two messages of changes to other data centres, whose bytes are dear.
-	farInterval = 100 * time.Millisecond
+	farInterval = 20 * time.Millisecond
 	// nearCost and farCost lengthen these times for each balancer that hears them, so that what one balancer hears costs
 	// it a bounded part of a core however many there are: some 670 and 250 messages a second at 20 microseconds each.
 	nearCost = 1500 * time.Microsecond
 	farCost  = 4 * time.Millisecond
+	mostTurns = 6
 	// wholeInterval is the time between two whole messages; four may be lost before a balancer counts as gone.
 	wholeInterval = 500 * time.Millisecond
 	// toldPeers is how many addresses of others a whole message names.
@@ -61,8 +65,35 @@
 	number     uint64
 	lines      map[string]bool
 	conn       net.PacketConn
+	turns      atomic.Pointer[turns]
 }
 
+// turns are whose turn it is: every balancer in order, for one slice of time each.
+type turns struct {
+	index, count uint64
+	slice        time.Duration
+}
+
+// Turn says whether, of all balancers, it is this one's turn for a task. Where clocks differ, turns overlap by chance.
+func (n *News) Turn(now time.Time, task string, free int) bool {
+	t := n.turns.Load()
+	if t == nil || t.count < 2 {
+		return true
+	}
+	slice := uint64(now.UnixNano() / int64(t.slice))
+	first := (slice*uint64(free) + xxhash.Sum64String(task)%t.count) % t.count
+	return (t.index+t.count-first)%t.count < uint64(free)
+}
+
+// order takes part in the turns with the balancers that are there. The caller holds the lock.
+func (n *News) order(now time.Time, live []string) {
+	all := append([]string{n.Address}, live...)
+	slices.Sort(all)
+	count := min(len(all), mostTurns)
+	n.turns.Store(&turns{index: uint64(slices.Index(all, n.Address) % count), count: uint64(count), slice: max(farInterval, time.Duration(len(live))*farCost)})
+}
+
+
 // Run tells and hears news until the context ends.
 func (n *News) Run(ctx context.Context) error {
 	conn, err := net.ListenPacket("udp4", n.Address)
@@ -179,6 +210,7 @@
 	live := n.neighbours.Live(now, false)
 	targets := append(n.neighbours.Silent(now), live...)
 	n.note(live)
+	n.order(now, live)
 	n.mu.Unlock()
 	message := &cvwire.News{Address: n.Address, DataCentre: n.DataCentre, Whole: true}
 	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
--- a/io/upstreams/cvslots/cvslots.go
+++ b/io/upstreams/cvslots/cvslots.go
@@ -39,11 +39,15 @@
 	Budget *cvbudget.Budget
 	// Balancers is the number of balancers that share the budget.
 	Balancers func() int
+	// Turn says whether it is this balancer's turn to take what is free on an upstream.
+	Turn func(now time.Time, id string, free int) bool
 
 	mu        sync.Mutex
 	admission *cvadmission.Admission
 	took      map[string]*cvquantile.Quantile
-	ready     map[*cvwaiter.Waiter]chan struct{}
+	// given are the times that callers of each route give.
+	given map[string]*cvquantile.Quantile
+	ready map[*cvwaiter.Waiter]chan struct{}
 	// demanded is when a request for the group came last.
 	demanded time.Time
 	// near and far are the ids of upstreams whose figures the balancers of this data centre, or all, do not know yet.
@@ -61,9 +65,10 @@
 
 func (s *Slots) init() {
 	if s.admission == nil {
-		s.admission = &cvadmission.Admission{Selector: &cvselector.Selector{DataCentre: s.DataCentre}}
+		s.admission = &cvadmission.Admission{Selector: &cvselector.Selector{DataCentre: s.DataCentre, Turn: s.Turn}}
 		s.near, s.far = make(map[string]struct{}), make(map[string]struct{})
 		s.took = make(map[string]*cvquantile.Quantile)
+		s.given = make(map[string]*cvquantile.Quantile)
 		s.ready = make(map[*cvwaiter.Waiter]chan struct{})
 	}
 }
@@ -190,12 +195,30 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.init()
-	q := s.took[route]
+	add(s.took, now, route, took)
+}
+
+func add(to map[string]*cvquantile.Quantile, now time.Time, route string, value time.Duration) {
+	q := to[route]
 	if q == nil {
 		q = cvquantile.New()
-		s.took[route] = q
+		to[route] = q
+	}
+	q.Add(now, value)
+}
+
+// Spent is how much of a caller's time was gone before its request came, when it gives less than callers of the route
+// usually do: it was refused before and has come back.
+func (s *Slots) Spent(now time.Time, route string, given time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	add(s.given, now, route, given)
+	usual, ok := s.given[route].At(now, 0.5)
+	if !ok {
+		return 0
 	}
-	q.Add(now, took)
+	return max(time.Duration(0.9*float64(usual))-given, 0)
 }
 
 // Usual is the time that a share of a route's recent tries stayed below, or false when too few were seen.
