Have balancers that start together meet within 0.1 s

An address that did not answer was tried again after 1 s, and whole messages went out every 0.5 s only. Ruled out: reading the directories (configuration in force 0 to 0.25 s after the start). Change: whole messages go out every 0.1 s while an address that was learned less than 2 s ago is silent, or a process was first heard since the last one.

--- a/core/cvneighbours/cvneighbours.go
+++ b/core/cvneighbours/cvneighbours.go
@@ -23,6 +23,13 @@
 	forgetTime = 2 * time.Minute
 	// retryTime is the time between two messages to an address that is silent.
 	retryTime = time.Second
+	// wholeInterval is the time between two whole messages; four may be lost before a balancer counts as gone.
+	wholeInterval = 500 * time.Millisecond
+	// meetInterval is the same while balancers meet, and the time between two messages to an address that was learned
+	// lately: balancers that start together should know of each other within the length of a request.
+	meetInterval = 100 * time.Millisecond
+	// meetTime is for how long a silent address counts as learned lately: a process starts within that.
+	meetTime = 2 * time.Second
 	// unknownBalancers is how many are assumed to share budgets before any was heard.
 	unknownBalancers = 12
 	// unheardBalancers is how many are assumed beside those that were heard.
@@ -39,6 +46,9 @@
 	DataCentre string
 
 	known map[string]*neighbour
+	// told is when the last whole message went out, and met says that a process was first heard since.
+	told time.Time
+	met  bool
 }
 
 type neighbour struct {
@@ -88,6 +98,7 @@
 	if found.process == process && number <= found.number {
 		return false
 	}
+	n.met = n.met || found.process != process || !n.live(now, found)
 	found.process, found.number, found.heard = process, number, now
 	return true
 }
@@ -190,6 +201,25 @@
 // weight is the rank of a balancer for a task, by rendezvous hashing.
 func weight(address, task string) uint64 { return xxhash.Sum64String(address + "\x00" + task) }
 
+// Due says whether it is time for a whole message: at the usual interval, or sooner while balancers meet.
+func (n *Neighbours) Due(now time.Time) bool {
+	since := now.Sub(n.told)
+	return since >= wholeInterval || since >= meetInterval && (n.met || n.meeting(now))
+}
+
+// Told notes that a whole message went out.
+func (n *Neighbours) Told(now time.Time) { n.told, n.met = now, false }
+
+// meeting says whether an address that was learned lately has not been heard yet.
+func (n *Neighbours) meeting(now time.Time) bool {
+	for _, k := range n.known {
+		if k.heard.IsZero() && now.Sub(k.learned) < meetTime {
+			return true
+		}
+	}
+	return false
+}
+
 // Silent returns the addresses that are due for another try to reach a balancer there, and forgets those that stay silent.
 func (n *Neighbours) Silent(now time.Time) []string {
 	var due []string
@@ -201,7 +231,11 @@
 			delete(n.known, address)
 			continue
 		}
-		if now.Sub(k.sent) >= retryTime {
+		pause := retryTime
+		if k.heard.IsZero() && now.Sub(k.learned) < meetTime {
+			pause = meetInterval
+		}
+		if now.Sub(k.sent) >= pause {
 			k.sent = now
 			due = append(due, address)
 		}
--- a/io/peers/cvnews/cvnews.go
+++ b/io/peers/cvnews/cvnews.go
@@ -32,8 +32,6 @@
 	// it a bounded part of a core however many there are: some 670 and 250 messages a second at 20 microseconds each.
 	nearCost = 1500 * time.Microsecond
 	farCost  = 4 * time.Millisecond
-	// wholeInterval is the time between two whole messages; four may be lost before a balancer counts as gone.
-	wholeInterval = 500 * time.Millisecond
 	// toldPeers is how many addresses of others a whole message names.
 	toldPeers = 8
 	// maxDatagram is the size of the largest datagram that is read.
@@ -150,13 +148,13 @@
 func (n *News) tell(ctx context.Context) error {
 	ticker := time.NewTicker(nearInterval)
 	defer ticker.Stop()
-	var near, far, whole time.Time
+	var near, far time.Time
 	for {
 		select {
 		case now := <-ticker.C:
 			switch {
-			case now.Sub(whole) >= wholeInterval:
-				whole, far, near = now, now, now
+			case n.due(now):
+				far, near = now, now
 				n.tellWhole(now)
 			case now.Sub(far) >= n.interval(now, false):
 				far, near = now, now
@@ -171,6 +169,13 @@
 	}
 }
 
+// due says whether a whole message is to be sent.
+func (n *News) due(now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.neighbours.Due(now)
+}
+
 // interval is the time between two messages of changes to the balancers of the own data centre, or to all.
 func (n *News) interval(now time.Time, near bool) time.Duration {
 	n.mu.Lock()
@@ -192,6 +197,7 @@
 	live := n.neighbours.Live(now, false)
 	targets := append(n.neighbours.Silent(now), live...)
 	n.note(live)
+	n.neighbours.Told(now)
 	turns := cvturns.New(n.Address, live, farTime(len(live)))
 	n.turns.Store(&turns)
 	n.mu.Unlock()
