--- a/core/cvadmission/fleet_test.go
+++ b/core/cvadmission/fleet_test.go
@@ -27,12 +27,15 @@
 	fleetDataCentres = 4
 	fleetUpstreams   = 20
 	fleetSlots       = 3
-	fleetFree        = 2
-	fleetTick        = 20 * time.Millisecond
-	fleetNews        = 20 * time.Millisecond
-	fleetSlowShare   = 0.35
+	// fleetFree is how many requests the ideal queue gives an upstream, so that it stays quick.
+	fleetFree = 2
+	// fleetTick is the time between two news of a balancer, and between two looks at who waits.
+	fleetTick = 20 * time.Millisecond
+	// fleetSlowShare is how much of its time a machine is slow.
+	fleetSlowShare = 0.35
 	// fleetStale is the age from which a report is asked for anew.
-	fleetStale  = 150 * time.Millisecond
+	fleetStale = 150 * time.Millisecond
+	// fleetReturn is the shortest time after which a refused caller comes back.
 	fleetReturn = 30 * time.Millisecond
 )
 
@@ -160,13 +163,13 @@
 }
 
 // tell hands the figures of each balancer to the others, as their news do.
-func tell(now time.Time, all []*balancer, far bool) {
+func tell(now time.Time, all []*balancer) {
 	for _, from := range all {
 		for n := range fleetUpstreams {
 			id := fmt.Sprint(n)
 			inFlight, age, busy, slowness, _ := from.selector.Told(now, id)
 			for _, to := range all {
-				if to != from && (far || to.selector.DataCentre == from.selector.DataCentre) {
+				if to != from {
 					to.selector.Hear(now, from.id, id, inFlight)
 					to.selector.HearReport(now, id, age, busy, slowness)
 				}
@@ -236,15 +239,10 @@
 			refuse(now, b, r)
 		}
 	}
-	var told time.Time
 	for tick := time.Unix(1000, 0); tick.Before(time.Unix(1000, 0).Add(playedTime + time.Second)); tick = tick.Add(fleetTick) {
 		f.at(tick, func(now time.Time) {
 			f.probe(now, all)
-			far := now.Sub(told) >= fleetNews
-			if far {
-				told = now
-			}
-			tell(now, all, far)
+			tell(now, all)
 			for _, b := range all {
 				advance(now, b)
 			}
