One hash of pairs, one interval of news, one look at an upstream's load

The rendezvous weight stood three times (cvview, cvneighbours and, new, cvquarantine), and a fourth time in cvgossip's names; the interval of news to all was an alias of the near one; choosing an upstream worked out its load twice while requests wait; cvneighbours spelled out twice which silent address is expected; the plays of TestPlayedLoad and TestFleet had three loops of looks, and two tests of cvrunner the same runner. Ruled out: a change of behaviour. The hash takes the same bytes, so that homes, readers and places stay; every check, bound and assertion stands. Change: cvhash.Pair; cvnews.between; Selector.turn gets the free slots; neighbour.expected; Quarantine.Place has one look for an empty list; player.every; newRunner. Imports of cvnode's admin in the house's order.

--- a/core/cvadmission/fleet_test.go
+++ b/core/cvadmission/fleet_test.go
@@ -29,8 +29,6 @@
 	fleetSlots       = 3
 	// fleetFree is how many requests the ideal queue gives an upstream, so that it stays quick.
 	fleetFree = 2
-	// fleetTick is the time between two news of a balancer, and between two looks at who waits.
-	fleetTick = 20 * time.Millisecond
 	// fleetSlowShare is how much of its time a machine is slow.
 	fleetSlowShare = 0.35
 	// fleetStale is the age from which a report is asked for anew.
@@ -154,9 +152,9 @@
 		}
 		s := &cvselector.Selector{DataCentre: place(int(id))}
 		if turns {
-			s.Turn = cvturns.New(address(int(id)), others(int(id)), fleetTick).Mine
+			s.Turn = cvturns.New(address(int(id)), others(int(id)), playedTick).Mine
 		}
-		s.Update(time.Unix(1000, 0), instances)
+		s.Update(playedStart, instances)
 		all = append(all, &balancer{id: id, selector: s, admission: &cvadmission.Admission{Selector: s}, waiting: make(map[*cvwaiter.Waiter]*asked)})
 	}
 	return all
@@ -239,15 +237,13 @@
 			refuse(now, b, r)
 		}
 	}
-	for tick := time.Unix(1000, 0); tick.Before(time.Unix(1000, 0).Add(playedTime + time.Second)); tick = tick.Add(fleetTick) {
-		f.at(tick, func(now time.Time) {
-			f.probe(now, all)
-			tell(now, all)
-			for _, b := range all {
-				advance(now, b)
-			}
-		})
-	}
+	f.every(func(now time.Time) {
+		f.probe(now, all)
+		tell(now, all)
+		for _, b := range all {
+			advance(now, b)
+		}
+	})
 	f.run(perSecond, func(now time.Time) { arrive(now, f.draw(now)) })
 	return f
 }
@@ -294,9 +290,7 @@
 			start(now, best, n)
 		}
 	}
-	for tick := time.Unix(1000, 0); tick.Before(time.Unix(1000, 0).Add(playedTime + time.Second)); tick = tick.Add(fleetTick) {
-		f.at(tick, advance)
-	}
+	f.every(advance)
 	f.run(perSecond, func(now time.Time) {
 		waiting = append(waiting, f.draw(now))
 		advance(now)
--- a/core/cvadmission/played_test.go
+++ b/core/cvadmission/played_test.go
@@ -31,8 +31,13 @@
 	playedSlowness  = 4
 	playedFull      = 1.7
 	playedTime      = 60 * time.Second
+	// playedTick is the time between two looks at what the passing of time makes necessary, and between two news.
+	playedTick = 20 * time.Millisecond
 )
 
+// playedStart is when a play begins.
+var playedStart = time.Unix(1000, 0)
+
 // event is something that happens at a time.
 type event struct {
 	at time.Time
@@ -94,9 +99,16 @@
 
 func (p *player) at(when time.Time, do func(now time.Time)) { heap.Push(&p.queue, event{when, do}) }
 
+// every has something done again and again while the load is played.
+func (p *player) every(do func(now time.Time)) {
+	for tick := playedStart; tick.Before(playedStart.Add(playedTime + time.Second)); tick = tick.Add(playedTick) {
+		p.at(tick, do)
+	}
+}
+
 // run plays arrivals at a rate, open loop.
 func (p *player) run(perSecond float64, arrive func(now time.Time)) played {
-	start := time.Unix(1000, 0)
+	start := playedStart
 	var next func(now time.Time)
 	next = func(now time.Time) {
 		p.got.total++
@@ -206,9 +218,7 @@
 		p.got.refused += len(a.Hopeless(now))
 	}
 	// Looks that the passing of time makes necessary.
-	for tick := time.Unix(1000, 0); tick.Before(time.Unix(1000, 0).Add(playedTime + time.Second)); tick = tick.Add(20 * time.Millisecond) {
-		p.at(tick, func(now time.Time) { advance(now) })
-	}
+	p.every(advance)
 	return p.run(perSecond, func(now time.Time) {
 		w := cvwaiter.New(now, cvneed.New(now.Add(playedTarget), now.Add(playedDeadline), 0, false).WithWork(playedWork))
 		switch a.Enter(now, p.random.Uint64(), w) {
--- a/core/cvneighbours/cvneighbours.go
+++ b/core/cvneighbours/cvneighbours.go
@@ -6,8 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"comfreyvale/core/cvhash"
 	"comfreyvale/core/cvwire"
 )
 
@@ -159,9 +158,9 @@
 
 // mine says whether, of the balancers of the own data centre that can do a task, it falls to this one.
 func (n *Neighbours) mine(now time.Time, task string, can func(k *neighbour) bool) bool {
-	own := weight(n.Self, task)
+	own := cvhash.Pair(n.Self, task)
 	for address, k := range n.known {
-		if k.dataCentre == n.DataCentre && !k.stopping && n.live(now, k) && can(k) && weight(address, task) > own {
+		if k.dataCentre == n.DataCentre && !k.stopping && n.live(now, k) && can(k) && cvhash.Pair(address, task) > own {
 			return false
 		}
 	}
@@ -198,9 +197,6 @@
 	return a < b
 }
 
-// weight is the rank of a balancer for a task, by rendezvous hashing.
-func weight(address, task string) uint64 { return xxhash.Sum64String(address + "\x00" + task) }
-
 // Due says whether it is time for a whole message: at the usual interval, or sooner while balancers meet.
 func (n *Neighbours) Due(now time.Time) bool {
 	since := now.Sub(n.told)
@@ -210,10 +206,15 @@
 // Told notes that a whole message went out.
 func (n *Neighbours) Told(now time.Time) { n.told, n.met = now, false }
 
-// meeting says whether an address that was learned lately has not been heard yet.
+// expected says whether the address was learned lately and has not been heard yet.
+func (k *neighbour) expected(now time.Time) bool {
+	return k.heard.IsZero() && now.Sub(k.learned) < meetTime
+}
+
+// meeting says whether a balancer is expected to be heard.
 func (n *Neighbours) meeting(now time.Time) bool {
 	for _, k := range n.known {
-		if k.heard.IsZero() && now.Sub(k.learned) < meetTime {
+		if k.expected(now) {
 			return true
 		}
 	}
@@ -232,7 +233,7 @@
 			continue
 		}
 		pause := retryTime
-		if k.heard.IsZero() && now.Sub(k.learned) < meetTime {
+		if k.expected(now) {
 			pause = meetInterval
 		}
 		if now.Sub(k.sent) >= pause {
--- a/core/cvquarantine/cvquarantine.go
+++ b/core/cvquarantine/cvquarantine.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"comfreyvale/core/cvhash"
 )
 
 const (
@@ -74,15 +74,15 @@
 // were in flight on one crashed upstream get different ones while there are enough, so that a second crash convicts only
 // the request that caused it. Balancers that know of the same deaths place alike.
 func (q *Quarantine) Place(fingerprint string, upstreams []string) string {
-	left := append([]string(nil), upstreams...)
+	if len(upstreams) == 0 {
+		return ""
+	}
+	var left []string
 	for _, other := range q.together(fingerprint) {
 		if len(left) == 0 {
-			left = append(left, upstreams...)
-		}
-		if len(left) == 0 {
-			return ""
+			left = slices.Clone(upstreams)
 		}
-		best := slices.MaxFunc(left, func(a, b string) int { return cmp.Compare(weight(other, a), weight(other, b)) })
+		best := slices.MaxFunc(left, func(a, b string) int { return cmp.Compare(cvhash.Pair(other, a), cvhash.Pair(other, b)) })
 		if other == fingerprint {
 			return best
 		}
@@ -108,11 +108,6 @@
 	return found
 }
 
-// weight is the rank of an upstream for a request, by rendezvous hashing.
-func weight(fingerprint, upstream string) uint64 {
-	return xxhash.Sum64String(fingerprint + "\x00" + upstream)
-}
-
 // Quarantined says whether a request must be refused, with the evidence.
 func (q *Quarantine) Quarantined(now time.Time, fingerprint string) (string, bool) {
 	s := q.suspects[fingerprint]
--- a/core/cvselector/cvselector.go
+++ b/core/cvselector/cvselector.go
@@ -121,10 +121,11 @@
 	var best *member
 	var bestTime float64
 	for n, m := range s.members {
-		if slices.Contains(need.Avoid(), m.instance.ID()) || !m.open(now) || s.load(now, m)+1 > usable(m.instance) {
+		if slices.Contains(need.Avoid(), m.instance.ID()) || !m.open(now) {
 			continue
 		}
-		if need.InTurn() && !s.turn(now, m) {
+		load, limit := s.load(now, m), usable(m.instance)
+		if load+1 > limit || need.InTurn() && !s.turn(now, m, int(limit-load)) {
 			continue
 		}
 		expected := s.expected(now, m, need) * (1 + noiseShare*cvdraw.Noise(draw, n))
@@ -135,10 +136,10 @@
 	return best, time.Duration(bestTime)
 }
 
-// turn says whether this balancer may take a free slot of an upstream while others have requests waiting too. A slot that
+// turn says whether this balancer may take one of the free slots of an upstream while others have requests waiting too. A slot that
 // it has just freed is its own to take again, as the others do not know of it yet.
-func (s *Selector) turn(now time.Time, m *member) bool {
-	return s.Turn == nil || m.freed.Equal(now) || s.Turn(now, m.instance.ID(), int(usable(m.instance)-s.load(now, m)))
+func (s *Selector) turn(now time.Time, m *member, free int) bool {
+	return s.Turn == nil || m.freed.Equal(now) || s.Turn(now, m.instance.ID(), free)
 }
 
 // Present is the number of upstreams that take work.
--- a/core/cvview/cvview.go
+++ b/core/cvview/cvview.go
@@ -5,8 +5,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
+	"comfreyvale/core/cvhash"
 	"comfreyvale/core/cvwire"
 )
 
@@ -32,16 +31,10 @@
 	for _, m := range members {
 		ranked = append(ranked, m.GetIncarnation())
 	}
-	slices.SortFunc(ranked, func(a, b string) int { return cmp.Compare(weight("homes", b), weight("homes", a)) })
+	slices.SortFunc(ranked, func(a, b string) int { return cmp.Compare(cvhash.Pair("homes", b), cvhash.Pair("homes", a)) })
 	return ranked[:min(len(ranked), homeLimit)]
 }
 
-// weight is the rank of an incarnation for a key, by rendezvous hashing.
-func weight(key, incarnation string) uint64 {
-	const separator = "\x00"
-	return xxhash.Sum64String(key + separator + incarnation)
-}
-
 // Epoch is the offset of the record that made the view.
 func (v *View) Epoch() int64 { return v.epoch }
 
@@ -68,7 +61,7 @@
 	home := ""
 	var best uint64
 	for _, h := range v.homes {
-		if w := weight(key, h); home == "" || w > best {
+		if w := cvhash.Pair(key, h); home == "" || w > best {
 			home, best = h, w
 		}
 	}
--- a/io/balancers/cvnode/admin.go
+++ b/io/balancers/cvnode/admin.go
@@ -4,9 +4,9 @@
 	"net/http"
 	"time"
 
-	"comfreyvale/io/balancers/cvlisteners"
-
 	"golang.org/x/sync/errgroup"
+
+	"comfreyvale/io/balancers/cvlisteners"
 )
 
 // serveAdmin serves the metrics, if the settings name an address for them. Without them requests are served all the same.
--- a/io/peers/cvgossip/cvgossip.go
+++ b/io/peers/cvgossip/cvgossip.go
@@ -7,9 +7,8 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"comfreyvale"
+	"comfreyvale/core/cvhash"
 	"comfreyvale/core/cvwire"
 	"comfreyvale/io/balancers/cvpause"
 	"comfreyvale/io/peers/cvpeers"
@@ -88,7 +87,7 @@
 
 // hash stands for an upstream of a service in messages.
 func hash(service, upstream string) uint32 {
-	return uint32(xxhash.Sum64String(service + "\x00" + upstream))
+	return uint32(cvhash.Pair(service, upstream))
 }
 
 // tell sends the counts that changed, or everything.
--- a/io/peers/cvnews/cvnews.go
+++ b/io/peers/cvnews/cvnews.go
@@ -23,13 +23,12 @@
 )
 
 const (
-	// nearInterval is the shortest time between two messages of changes within the data centre: a tenth of a request's length.
-	nearInterval = 20 * time.Millisecond
-	// farInterval is the shortest time between two messages of changes to all: the same, as a slot that is taken from several
-	// data centres costs more than the messages' bytes.
-	farInterval = nearInterval
-	// nearCost and farCost lengthen these times for each balancer that hears them, so that what one balancer hears costs
-	// it a bounded part of a core however many there are: some 670 and 250 messages a second at 20 microseconds each.
+	// shortestInterval is the shortest time between two messages of changes: a tenth of a request's length. It holds for
+	// other data centres too, as a slot that is taken from several of them costs more than the messages' bytes.
+	shortestInterval = 20 * time.Millisecond
+	// nearCost and farCost lengthen this time for each balancer of the data centre, or of all, that hears the messages, so
+	// that what one balancer hears costs it a bounded part of a core however many there are: some 670 and 250 messages a
+	// second at 20 microseconds each.
 	nearCost = 1500 * time.Microsecond
 	farCost  = 4 * time.Millisecond
 	// toldPeers is how many addresses of others a whole message names.
@@ -146,7 +145,7 @@
 
 // tell sends what changed, and everything now and then.
 func (n *News) tell(ctx context.Context) error {
-	ticker := time.NewTicker(nearInterval)
+	ticker := time.NewTicker(shortestInterval)
 	defer ticker.Stop()
 	var near, far time.Time
 	for {
@@ -181,15 +180,18 @@
 	n.mu.Lock()
 	hearers := len(n.neighbours.Live(now, near))
 	n.mu.Unlock()
+	cost := farCost
 	if near {
-		// The ticker may be a little early.
-		return max(nearInterval, time.Duration(hearers)*nearCost) - nearInterval/2
+		cost = nearCost
 	}
-	return farTime(hearers) - nearInterval/2
+	// The ticker may be a little early.
+	return between(hearers, cost) - shortestInterval/2
 }
 
-// farTime is the time between two messages of changes to a number of balancers.
-func farTime(hearers int) time.Duration { return max(farInterval, time.Duration(hearers)*farCost) }
+// between is the time between two messages of changes to a number of balancers.
+func between(hearers int, cost time.Duration) time.Duration {
+	return max(shortestInterval, time.Duration(hearers)*cost)
+}
 
 func (n *News) tellWhole(now time.Time) {
 	n.mu.Lock()
@@ -198,7 +200,7 @@
 	targets := append(n.neighbours.Silent(now), live...)
 	n.note(live)
 	n.neighbours.Told(now)
-	turns := cvturns.New(n.Address, live, farTime(len(live)))
+	turns := cvturns.New(n.Address, live, between(len(live), farCost))
 	n.turns.Store(&turns)
 	n.mu.Unlock()
 	message := &cvwire.News{Address: n.Address, DataCentre: n.DataCentre, Whole: true}
@@ -274,7 +276,7 @@
 		if err != nil {
 			// The socket may go on working; the pause keeps one that does not from taking a core.
 			n.Logger.WithError(err).Warn("news cannot be received")
-			time.Sleep(nearInterval)
+			time.Sleep(shortestInterval)
 			continue
 		}
 		message := &cvwire.News{}
--- a/io/upstreams/cvrunner/cvrunner_test.go
+++ b/io/upstreams/cvrunner/cvrunner_test.go
@@ -21,6 +21,14 @@
 	"comfreyvale/io/upstreams/cvrunner"
 )
 
+// newRunner returns a runner that traces nothing and is told of deaths.
+func newRunner(died func(call *cvcall.Call, upstream string)) *cvrunner.Runner {
+	return &cvrunner.Runner{
+		Recorder: &cvcauses.Causes{Limit: 10}, Tracer: noop.NewTracerProvider().Tracer(""), Memory: semaphore.NewWeighted(1 << 20),
+		Draining: func(string, string) {}, Died: died,
+	}
+}
+
 // poisonous starts a group of upstreams that crash on requests with a mark, and returns it with its service and VMs.
 func poisonous(t *testing.T, name string, count, slots int) (*cvsample.Group, *cvservice.Service, []comfreyvale.VM) {
 	list := &cvmemlist.List{}
@@ -46,16 +54,12 @@
 	dispatcher := &cvdispatcher.Dispatcher{}
 	dispatcher.Update(time.Now(), service, vms, 1)
 	deaths, asked := 0, 0
-	runner := &cvrunner.Runner{
-		Recorder: &cvcauses.Causes{Limit: 10}, Tracer: noop.NewTracerProvider().Tracer(""), Memory: semaphore.NewWeighted(1 << 20),
-		Draining:  func(string, string) {},
-		Died:      func(*cvcall.Call, string) { deaths++ },
-		Suspected: func(*cvcall.Call) bool { return deaths > 0 },
-		Barred: func(*cvcall.Call) bool {
-			// The news come in after the retry was decided.
-			asked++
-			return asked > 1
-		},
+	runner := newRunner(func(*cvcall.Call, string) { deaths++ })
+	runner.Suspected = func(*cvcall.Call) bool { return deaths > 0 }
+	runner.Barred = func(*cvcall.Call) bool {
+		// The news come in after the retry was decided.
+		asked++
+		return asked > 1
 	}
 	call := cvcall.New("id", service, service.Class(http.MethodGet, "/a"), time.Now().Add(20*time.Second)).
 		WithRequest(http.MethodGet, "/a", http.Header{"X-Tag": {"poison"}, "Host": {"h.example"}}, nil)
--- a/io/upstreams/cvrunner/place_test.go
+++ b/io/upstreams/cvrunner/place_test.go
@@ -9,17 +9,13 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"go.opentelemetry.io/otel/trace/noop"
-	"golang.org/x/sync/semaphore"
 
 	"comfreyvale"
 	"comfreyvale/core/cvcall"
-	"comfreyvale/core/cvcauses"
 	"comfreyvale/core/cvquarantine"
 	"comfreyvale/core/cvservice"
 	"comfreyvale/io/standins/cvupstream"
 	"comfreyvale/io/upstreams/cvdispatcher"
-	"comfreyvale/io/upstreams/cvrunner"
 )
 
 // crowd is calls of as many balancers, all in flight on one upstream when one of them crashes it.
@@ -90,30 +86,27 @@
 		dispatcher.Update(time.Now(), c.service, c.vms, 1)
 		once.Do(c.deaths.Done)
 	}
-	runner := &cvrunner.Runner{
-		Recorder: &cvcauses.Causes{Limit: 10}, Tracer: noop.NewTracerProvider().Tracer(""), Memory: semaphore.NewWeighted(1 << 20),
-		Draining: func(string, string) {}, Died: died,
-		Suspected: func(*cvcall.Call) bool {
-			c.mu.Lock()
-			suspect := c.quarantine.Suspect(name)
-			c.mu.Unlock()
-			if suspect {
-				// All balancers' news are in.
-				c.deaths.Wait()
-			}
-			return suspect
-		},
-		Barred: func(*cvcall.Call) bool {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			_, quarantined := c.quarantine.Quarantined(time.Now(), name)
-			return quarantined
-		},
-		Place: func(_ *cvcall.Call, upstreams []string) string {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			return c.quarantine.Place(name, upstreams)
-		},
+	runner := newRunner(died)
+	runner.Suspected = func(*cvcall.Call) bool {
+		c.mu.Lock()
+		suspect := c.quarantine.Suspect(name)
+		c.mu.Unlock()
+		if suspect {
+			// All balancers' news are in.
+			c.deaths.Wait()
+		}
+		return suspect
+	}
+	runner.Barred = func(*cvcall.Call) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		_, quarantined := c.quarantine.Quarantined(time.Now(), name)
+		return quarantined
+	}
+	runner.Place = func(_ *cvcall.Call, upstreams []string) string {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.quarantine.Place(name, upstreams)
 	}
 	call := cvcall.New(name, c.service, c.service.Class(http.MethodGet, "/a"), time.Now().Add(20*time.Second)).
 		WithRequest(http.MethodGet, target, header, nil)
