Quantiles of latencies at low rates

Cause: a window of 2 s needed 20 samples, so a route below 10 requests a second on a VM never had a quantile. Change: a window is filled until it has the samples, for 30 s at most; latencies older than two such windows count no more. Test: TestRates fails on the old code at one and two samples a second; TestTooFew fails there for latencies of an hour ago.

--- a/core/cvquantile/cvquantile.go
+++ b/core/cvquantile/cvquantile.go
@@ -12,8 +12,10 @@
 	lowestLatency     = 10 * time.Microsecond
 	highestLatency    = 5 * time.Minute
 	significantDigits = 2
-	// windowLength is how long a window is filled; it is then read for as long.
-	windowLength = 2 * time.Second
+	// minWindow is how long a window is filled at least; it is then read until the next one is filled.
+	minWindow = 2 * time.Second
+	// maxWindow is how long a window is filled at most, even if it holds fewer than minSamples latencies.
+	maxWindow = 30 * time.Second
 	// minSamples is the number of latencies below which a window's quantile is not meaningful.
 	minSamples = 20
 )
@@ -62,10 +64,14 @@
 	if q.swappedAt.IsZero() {
 		q.swappedAt = now
 	}
-	if now.Sub(q.swappedAt) < windowLength {
+	filled := now.Sub(q.swappedAt)
+	if filled < minWindow || filled < maxWindow && q.filling.TotalCount() < minSamples {
 		return
 	}
 	q.filling, q.reading = q.reading, q.filling
 	q.filling.Reset()
+	if filled >= 2*maxWindow {
+		q.reading.Reset()
+	}
 	q.swappedAt = now
 }
