--- a/core/cvadmission/simulation_test.go
+++ b/core/cvadmission/simulation_test.go
@@ -350,12 +350,12 @@
 			a := &cvadmission.Admission{Selector: selector}
 			a.RecordRelease(start.Add(-10 * time.Second))
 			a.RecordRelease(start)
-			selector.RecordPeerReport(start, "0", 0, 0, c.slowness)
+			selector.RecordPeerReport(start, "0", 0, 0, 0, c.slowness)
 			w := cvwaiter.New(start, cvrequirements.New(start.Add(simTarget), start.Add(simDeadline), 0, false).WithServiceTime(c.work))
 			decision := a.Enter(start, 1, w)
 			require.NotEqual(t, cvadmission.Refused, decision)
 			for now := start; decision == cvadmission.Waiting && now.Before(start.Add(simTarget)); now = now.Add(10 * time.Millisecond) {
-				selector.RecordPeerReport(now, "0", 0, 0, c.slowness)
+				selector.RecordPeerReport(now, "0", 0, 0, 0, c.slowness)
 				if _, ok := a.Next(now, 1); ok {
 					decision = cvadmission.Granted
 				}
--- a/core/cvpeertable/cvpeertable_test.go
+++ b/core/cvpeertable/cvpeertable_test.go
@@ -194,3 +194,146 @@
 	require.Empty(t, table.DirectorySource(start))
 	require.Empty(t, table.DirectorySource(start.Add(time.Minute)))
 }
+
+// TestMembers checks that the states of a data centre's balancers reach another data centre, and that older states are
+// ignored.
+func TestMembers(t *testing.T) {
+	there := &cvpeertable.Table{Self: "b1", DataCentre: "y"}
+	receive(there, start, "b2", 1, &cvwire.News{DataCentre: "y", Version: 7, RoutesNext: 3, UpstreamsNext: 4, Reading: true, ReadAgeMs: 100})
+	receive(there, start, "a1", 1, &cvwire.News{DataCentre: "x", Version: 9})
+	members := there.Members(start.Add(200 * time.Millisecond))
+	require.Len(t, members, 1, "only the balancers of the data centre")
+	here := &cvpeertable.Table{Self: "a1", DataCentre: "x"}
+	now := start.Add(time.Second)
+	here.RecordMembers(now, "x", members)
+	require.Empty(t, here.Live(now, false), "not about this data centre")
+	here.RecordMembers(now, "y", append(members, &cvwire.BalancerState{Address: "a1"}))
+	require.Equal(t, []string{"b2"}, here.Live(now, false))
+	require.Empty(t, here.Live(now, true))
+	require.Empty(t, here.StateReceivers(now))
+	require.Equal(t, map[string][]string{"y": {"b2"}}, here.RemoteDataCentres(now))
+	address, version := here.NewestVersion(now)
+	require.Equal(t, "b2", address)
+	require.Equal(t, int64(7), version)
+	routes, upstreams, readByPeer := here.Ahead(now, time.Second, 2, 3)
+	require.Equal(t, "b2", routes)
+	require.Equal(t, "b2", upstreams)
+	require.True(t, readByPeer)
+	here.RecordMembers(now, "y", []*cvwire.BalancerState{{Address: "b2", AgeMs: 400, Version: 6}})
+	_, version = here.NewestVersion(now)
+	require.Equal(t, int64(7), version, "a state older than the known one")
+	require.Empty(t, here.Live(now.Add(3*time.Second), false))
+}
+
+// TestSpeaks checks that exactly one balancer of a data centre sends its state to the others in a slot, each in turn.
+func TestSpeaks(t *testing.T) {
+	addresses := []string{"a", "b", "c", "d", "e"}
+	var views []*cvpeertable.Table
+	for _, self := range addresses {
+		table := &cvpeertable.Table{Self: self, DataCentre: "x"}
+		for _, other := range addresses {
+			update(table, start, other, "x", 1)
+		}
+		update(table, start, "f", "y", 1)
+		views = append(views, table)
+	}
+	spoken := map[string]bool{}
+	for slot := int64(1000); slot < 1005; slot++ {
+		var speakers []string
+		for _, table := range views {
+			if table.Speaks(start, slot) {
+				speakers = append(speakers, table.Self)
+				spoken[table.Self] = true
+			}
+		}
+		require.Len(t, speakers, 1)
+	}
+	require.Len(t, spoken, len(addresses))
+}
+
+// TestGreetings checks who sends messages to silent addresses of another data centre: nobody while that data centre has
+// a live balancer, otherwise one for each address.
+func TestGreetings(t *testing.T) {
+	const silence = 4 * time.Second
+	addresses := []string{"a", "b", "c"}
+	cases := map[string]struct {
+		heard, live []string
+		greeted     int
+	}{
+		"one is live":   {heard: []string{"x", "y", "z"}, live: []string{"z"}, greeted: 0},
+		"none is live":  {heard: []string{"x", "y", "z"}, greeted: 3},
+		"never heard":   {greeted: 3},
+		"one is silent": {heard: []string{"x"}, greeted: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			greeted := map[string]int{}
+			for _, self := range addresses {
+				table := &cvpeertable.Table{Self: self, DataCentre: "near"}
+				if len(c.heard) == 0 {
+					table.AddAddresses(start, []string{"x", "y", "z"})
+				}
+				for _, a := range c.heard {
+					update(table, start, a, "far", 1)
+				}
+				now := start.Add(silence)
+				for _, a := range c.live {
+					update(table, now, a, "far", 2)
+				}
+				for _, a := range addresses {
+					update(table, now, a, "near", 1)
+				}
+				for _, a := range table.AddressesToRetry(now) {
+					greeted[a]++
+				}
+			}
+			require.Len(t, greeted, c.greeted)
+			for a, times := range greeted {
+				require.Equal(t, 1, times, a)
+			}
+		})
+	}
+}
+
+// TestReplies checks that a balancer of another data centre gets the full state when it asks, and the addresses of its
+// own data centre with it.
+func TestReplies(t *testing.T) {
+	table := &cvpeertable.Table{Self: "a", DataCentre: "x"}
+	for i := range 12 {
+		update(table, start, fmt.Sprint("y", i), "y", 1)
+	}
+	update(table, start, "x1", "x", 1)
+	update(table, start, "z1", "z", 1)
+	table.RecordStateSent(start)
+	soon := start.Add(100 * time.Millisecond)
+	require.False(t, table.StateDue(soon))
+	require.Empty(t, table.TakeReplies())
+	receive(table, start, "y-new", 1, &cvwire.News{DataCentre: "y", WantsReply: true})
+	require.True(t, table.StateDue(soon))
+	require.Equal(t, map[string][]string{"y": {"y-new"}}, table.TakeReplies())
+	require.Empty(t, table.TakeReplies(), "it has the reply")
+	message := &cvwire.News{}
+	table.ListPeers(start, "y", message, func([]string) {})
+	require.Len(t, message.GetPeers(), 8)
+	count := map[string]int{}
+	for n, a := range message.GetPeers() {
+		require.Equal(t, a[:1], message.GetPeerDataCentres()[n])
+		count[message.GetPeerDataCentres()[n]]++
+	}
+	require.Equal(t, map[string]int{"y": 7, "z": 1}, count)
+	here := &cvpeertable.Table{Self: "y-new", DataCentre: "y"}
+	receive(here, start, "a", 1, &cvwire.News{DataCentre: "x", Peers: message.GetPeers(), PeerDataCentres: message.GetPeerDataCentres()})
+	require.Len(t, here.AddressesToRetry(start), 7, "all but itself are greeted, as no balancer of their data centres is live")
+}
+
+// TestSharersOfUnknownDataCentres checks that a data centre without news counts like this one.
+func TestSharersOfUnknownDataCentres(t *testing.T) {
+	table := &cvpeertable.Table{Self: "a", DataCentre: "x", DataCentres: 4}
+	for i := range 9 {
+		update(table, start, fmt.Sprint("b", i), "x", 1)
+	}
+	require.GreaterOrEqual(t, table.Sharers(start), 40)
+	update(table, start, "c", "y", 1)
+	require.GreaterOrEqual(t, table.Sharers(start), 31)
+	require.Less(t, table.Sharers(start), 40)
+}
--- /dev/null
+++ b/core/cvpeertable/members.go
@@ -0,0 +1,69 @@
+package cvpeertable
+
+import (
+	"time"
+
+	"comfreyvale/core/cvwire"
+)
+
+// Members returns the states of the live balancers of this data centre without this one.
+func (t *Table) Members(now time.Time) []*cvwire.BalancerState {
+	var found []*cvwire.BalancerState
+	for _, address := range t.Live(now, true) {
+		p := t.peers[address]
+		found = append(found, &cvwire.BalancerState{
+			Address: address, AgeMs: uint32(now.Sub(p.receivedAt).Milliseconds()), Version: p.version, Stopping: p.stopping,
+			DirectoryAway: p.directoryAway, Unreadable: p.unreadable, Reading: p.readsForOthers,
+			ReadAgeMs: uint32(min(now.Sub(p.readAt), time.Hour).Milliseconds()), RoutesNext: p.routesNext, UpstreamsNext: p.upstreamsNext,
+		})
+	}
+	return found
+}
+
+// RecordMembers records the states of the balancers of another data centre. States older than the known ones are
+// ignored.
+func (t *Table) RecordMembers(now time.Time, dataCentre string, members []*cvwire.BalancerState) {
+	if dataCentre == "" || dataCentre == t.DataCentre {
+		return
+	}
+	for _, m := range members {
+		if m.GetAddress() == t.Self || m.GetAddress() == "" {
+			continue
+		}
+		heardAt := now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond)
+		p := t.entry(now, m.GetAddress())
+		p.dataCentre = dataCentre
+		if heardAt.Before(p.receivedAt) {
+			continue
+		}
+		p.receivedAt = heardAt
+		p.version, p.stopping = m.GetVersion(), m.GetStopping()
+		p.directoryAway, p.unreadable, p.readsForOthers = m.GetDirectoryAway(), m.GetUnreadable(), m.GetReading()
+		p.readAt = now.Add(-time.Duration(m.GetReadAgeMs()) * time.Millisecond)
+		p.routesNext, p.upstreamsNext = m.GetRoutesNext(), m.GetUpstreamsNext()
+	}
+}
+
+// RemoteDataCentres returns the live balancers of each other data centre, sorted by address.
+func (t *Table) RemoteDataCentres(now time.Time) map[string][]string {
+	found := make(map[string][]string)
+	for _, address := range t.Live(now, false) {
+		if p := t.peers[address]; t.remote(p) {
+			found[p.dataCentre] = append(found[p.dataCentre], address)
+		}
+	}
+	return found
+}
+
+// Speaks reports whether this balancer has the turn to send its data centre's state to the others in a slot. The
+// live balancers of a data centre take turns, so that the loss of any of them costs single messages.
+func (t *Table) Speaks(now time.Time, slot int64) bool {
+	index, count := 0, 1
+	for _, address := range t.Live(now, true) {
+		count++
+		if address < t.Self {
+			index++
+		}
+	}
+	return slot%int64(count) == int64(index)
+}
--- a/core/cvroutes/cvroutes.go
+++ b/core/cvroutes/cvroutes.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 
 	"comfreyvale/core/cvgroup"
 	"comfreyvale/core/cvhost"
@@ -18,6 +19,8 @@
 	byHost  map[string][]*cvroute.Route
 	groups  map[string]cvgroup.Group
 	limits  cvlimits.Limits
+	// shortestTarget is the shortest target latency of the routes, 0 if none has one.
+	shortestTarget time.Duration
 }
 
 // New returns the table of a configuration version.
@@ -26,6 +29,9 @@
 	for _, r := range routes {
 		host := strings.ToLower(r.Host())
 		t.byHost[host] = append(t.byHost[host], r)
+		if target := r.TargetLatency(); target > 0 && (t.shortestTarget == 0 || target < t.shortestTarget) {
+			t.shortestTarget = target
+		}
 	}
 	for _, found := range t.byHost {
 		slices.SortFunc(found, compareByPrefixLength)
@@ -58,6 +64,9 @@
 // Groups returns all groups of upstreams by name. The map must not be modified.
 func (t *Table) Groups() map[string]cvgroup.Group { return t.groups }
 
+// ShortestTarget returns the shortest target latency of the routes, or 0 if none has one.
+func (t *Table) ShortestTarget() time.Duration { return t.shortestTarget }
+
 // Match returns the route of the host with the longest matching path prefix. A port in host is ignored.
 func (t *Table) Match(host, path string) (*cvroute.Route, bool) {
 	for _, r := range t.byHost[cvhost.Name(host)] {
--- a/core/cvselector/cvselector.go
+++ b/core/cvselector/cvselector.go
@@ -67,9 +67,9 @@
 type Selector struct {
 	// DataCentre is the data centre of this balancer.
 	DataCentre string
-	// MayTakeFreeSlot reports whether this balancer may now take one of the free slots of an upstream; nil means
-	// always.
-	MayTakeFreeSlot func(now time.Time, id string, free int) bool
+	// MayTakeFreeSlot reports whether this balancer may now take one of the free slots of an upstream, near if it is in
+	// this data centre; nil means always.
+	MayTakeFreeSlot func(now time.Time, id string, near bool, free int) bool
 
 	upstreams []*upstream
 	byID      map[string]*upstream
@@ -148,9 +148,12 @@
 // hasTurn reports whether this balancer may take a free slot while other balancers have waiting requests too. It may
 // always take a slot that it has just released, as the others do not know of it yet.
 func (s *Selector) hasTurn(now time.Time, u *upstream, free int) bool {
-	return s.MayTakeFreeSlot == nil || u.lastEnd.Equal(now) || s.MayTakeFreeSlot(now, u.instance.ID(), free)
+	return s.MayTakeFreeSlot == nil || u.lastEnd.Equal(now) || s.MayTakeFreeSlot(now, u.instance.ID(), s.near(u), free)
 }
 
+// near reports whether an upstream is in this balancer's data centre.
+func (s *Selector) near(u *upstream) bool { return u.instance.DataCentre() == s.DataCentre }
+
 // AvailableCount returns the number of upstreams that accept requests.
 func (s *Selector) AvailableCount(now time.Time) int {
 	count := 0
@@ -217,7 +220,7 @@
 		latency *= warmUpPenalty
 	}
 	latency *= 1 + failurePenalty*u.failureShare*decay(now.Sub(u.failureShareAt), failureDecayTime)
-	if u.instance.DataCentre() == s.DataCentre {
+	if s.near(u) {
 		return latency
 	}
 	if reqs.Large() {
@@ -251,7 +254,7 @@
 	if u == nil {
 		return
 	}
-	u.end(began)
+	u.end(now, began)
 	u.lastEnd = now
 	switch result {
 	case comfreyvale.ResultAnswered:
@@ -260,7 +263,7 @@
 		s.recordFailure(now, u)
 	case comfreyvale.ResultRefused:
 		// The upstream is full: its load is unknown, but at least its number of slots.
-		s.applyReport(now, now, u, max(u.reportedLoad, u.instance.Slots()), 0)
+		s.applyReport(now, now, u, max(u.reportedLoad, u.instance.Slots()))
 	}
 }
 
--- a/core/cvselector/reports.go
+++ b/core/cvselector/reports.go
@@ -1,6 +1,7 @@
 package cvselector
 
 import (
+	"math"
 	"time"
 
 	"comfreyvale/core/cvinstance"
@@ -14,28 +15,34 @@
 	if u == nil {
 		return
 	}
-	s.applyReport(now, now, u, report.Running()+report.Waiting()-ended, report.Slowness())
+	s.applyReport(now, now, u, report.Running()+report.Waiting()-ended)
 	if report.Slowness() <= 0 {
 		return
 	}
+	u.recordSlowness(now, now, report.Slowness())
 	if s.slowness == 0 {
 		s.slowness = report.Slowness()
 	}
 	s.slowness += slownessGain * (report.Slowness() - s.slowness)
 }
 
-// applyReport stores a load report unless it is older than the last one.
-func (s *Selector) applyReport(now, reported time.Time, u *upstream, load int, slowness float64) {
+// applyReport stores a reported load unless it is older than the last one.
+func (s *Selector) applyReport(now, reported time.Time, u *upstream, load int) {
 	if reported.Before(u.reportedAt) {
 		return
 	}
-	u.reportedAt = reported
+	u.reportedAt, u.changedAt = reported, now
 	u.reportedLoad = max(load, 0)
 	u.updateUnattributed(now)
-	if slowness > 0 {
-		u.slownessAt = reported
-		u.slowness = slowness
+}
+
+// recordSlowness stores a reported slowness unless it is older than the last one.
+func (u *upstream) recordSlowness(now, reported time.Time, slowness float64) {
+	if slowness <= 0 || reported.Before(u.slownessAt) {
+		return
 	}
+	u.slownessAt, u.changedAt = reported, now
+	u.slowness = slowness
 }
 
 // RecordPeerInFlight records the number of a peer's in-flight attempts on an upstream.
@@ -47,13 +54,17 @@
 	if u.peerCounts == nil {
 		u.peerCounts = make(map[uint64]peerCount)
 	}
+	if u.peerCounts[peer].count != inFlight {
+		u.changedAt = now
+	}
 	u.peerCounts[peer] = peerCount{count: inFlight, at: now}
 }
 
-// RecordPeerReport records a load report that a peer received from an upstream.
-func (s *Selector) RecordPeerReport(now time.Time, id string, age time.Duration, load int, slowness float64) {
+// RecordPeerReport records a load and a slowness that a peer has learned, with their ages.
+func (s *Selector) RecordPeerReport(now time.Time, id string, age time.Duration, load int, slownessAge time.Duration, slowness float64) {
 	if u := s.byID[id]; u != nil {
-		s.applyReport(now, now.Add(-age), u, load, slowness)
+		s.applyReport(now, now.Add(-age), u, load)
+		u.recordSlowness(now, now.Add(-slownessAge), slowness)
 	}
 }
 
@@ -67,13 +78,24 @@
 	}
 }
 
-// StateForPeers returns this balancer's in-flight attempts on an upstream and the last load report with its age.
-func (s *Selector) StateForPeers(now time.Time, id string) (inFlight int, age time.Duration, load int, slowness float64, known bool) {
+// StateForPeers returns this balancer's in-flight attempts on an upstream, and the last reported load and slowness with
+// their ages.
+func (s *Selector) StateForPeers(now time.Time, id string) (inFlight int, age time.Duration, load int, slownessAge time.Duration, slowness float64, known bool) {
 	u := s.byID[id]
 	if u == nil {
-		return 0, 0, 0, 0, false
+		return 0, 0, 0, 0, 0, false
+	}
+	return len(u.attempts), now.Sub(u.reportedAt), u.reportedLoad, now.Sub(u.slownessAt), u.slowness, true
+}
+
+// Changes calls report with the in-flight requests of all balancers and the slowness of each upstream of this data
+// centre of which this balancer has learned something within the given time. The other data centres get these.
+func (s *Selector) Changes(now time.Time, within time.Duration, report func(id string, load int, slownessAge time.Duration, slowness float64)) {
+	for _, u := range s.upstreams {
+		if s.near(u) && now.Sub(u.changedAt) <= within {
+			report(u.instance.ID(), int(math.Round(s.load(now, u))), now.Sub(u.slownessAt), u.slowness)
+		}
 	}
-	return len(u.attempts), now.Sub(u.reportedAt), u.reportedLoad, u.slowness, true
 }
 
 // UpstreamsToProbe returns the upstreams in this data centre that are not draining and whose last report and last probe
@@ -81,7 +103,7 @@
 func (s *Selector) UpstreamsToProbe(now time.Time, age time.Duration) []*cvinstance.Instance {
 	var found []*cvinstance.Instance
 	for _, u := range s.upstreams {
-		if u.instance.DataCentre() == s.DataCentre && !u.instance.Draining() && now.Sub(u.reportedAt) > age && now.Sub(u.probedAt) > age {
+		if s.near(u) && !u.instance.Draining() && now.Sub(u.reportedAt) > age && now.Sub(u.probedAt) > age {
 			found = append(found, u.instance)
 		}
 	}
--- a/core/cvselector/upstream.go
+++ b/core/cvselector/upstream.go
@@ -24,7 +24,9 @@
 	// slowness is the last reported slowness, 0 before the first report.
 	slowness   float64
 	slownessAt time.Time
-	warmUntil  time.Time
+	// changedAt is when this balancer last learned of a change of the load or the slowness.
+	changedAt time.Time
+	warmUntil time.Time
 	// failureShare is the share of failures among recent attempts, as of failureShareAt.
 	failureShare   float64
 	failureShareAt time.Time
@@ -66,9 +68,13 @@
 	u.unattributed = max(float64(u.reportedLoad-len(u.attempts)-u.peerInFlight(now)), 0)
 }
 
-func (u *upstream) begin(now time.Time) { u.attempts = append(u.attempts, now) }
+func (u *upstream) begin(now time.Time) {
+	u.attempts = append(u.attempts, now)
+	u.changedAt = now
+}
 
-func (u *upstream) end(began time.Time) {
+func (u *upstream) end(now, began time.Time) {
+	u.changedAt = now
 	for n, b := range u.attempts {
 		if b.Equal(began) {
 			u.attempts = append(u.attempts[:n], u.attempts[n+1:]...)
--- a/io/balancers/cvnode/attempts.go
+++ b/io/balancers/cvnode/attempts.go
@@ -28,6 +28,9 @@
 	// workQuantile is the quantile of a route's recent attempt durations that is used as the expected work
 	// of the next attempt.
 	workQuantile = 0.35
+	// initialWorkShare is the expected work as a share of a route's target latency before enough attempts have ended.
+	// Operators allow for a machine that is about twice as slow as usual.
+	initialWorkShare = 0.4
 	// maxAttempts is the maximum number of attempts of one request, including those that sent no byte.
 	maxAttempts = 8
 )
@@ -154,7 +157,10 @@
 
 func (e *exchange) requirements() cvrequirements.Requirements {
 	// About a third of the attempts are faster than this, so it approximates the work on a machine of usual speed.
-	work, _ := e.slots.DurationQuantile(time.Now(), e.route.Name(), workQuantile)
+	work, ok := e.slots.DurationQuantile(time.Now(), e.route.Name(), workQuantile)
+	if !ok {
+		work = time.Duration(initialWorkShare * float64(e.route.TargetLatency()))
+	}
 	return cvrequirements.New(e.target, e.deadline, e.route.Priority(), e.route.LargeResponses()).WithServiceTime(work).WithAvoid(e.tried)
 }
 
@@ -194,6 +200,7 @@
 	now := time.Now()
 	e.reportLoad(a.upstream(), a.outcome, a.response)
 	e.node.metrics.AttemptEnded(e.group, a.outcome.String())
+	e.node.metrics.ResponseReceived(a.waiter.Instance().DataCentre() == e.node.Settings.DataCentre(), len(a.response.Body()))
 	switch a.outcome {
 	case answered:
 		e.slots.RecordDuration(now, e.route.Name(), now.Sub(a.startedAt))
--- a/io/balancers/cvnode/cvnode.go
+++ b/io/balancers/cvnode/cvnode.go
@@ -94,8 +94,7 @@
 	// upstreamsLoaded reports whether this process has ever read the directory of upstreams.
 	upstreamsLoaded bool
 	fleet           cvfleet.Fleet
-	// peerReachedDirectoryAt is the time of the last message in which another balancer reported that it can read the
-	// directory of upstreams.
+	// peerReachedDirectoryAt is when another balancer last read the directories.
 	peerReachedDirectoryAt time.Time
 	groups                 map[string]*cvslots.Slots
 	// upstreamsByHash holds the upstreams by the hashes that identify them in messages between balancers.
--- a/io/balancers/cvnode/news.go
+++ b/io/balancers/cvnode/news.go
@@ -17,27 +17,45 @@
 
 func (n *Node) newNews() *cvnews.News {
 	return &cvnews.News{
-		Address: n.Settings.GossipAddress(), DataCentre: n.Settings.DataCentre(), Seeds: func() []string { return n.settings.Load().SeedAddresses() },
-		Fill: n.fillNews, OnMessage: n.receiveNews, Logger: n.Logger,
+		Address: n.Settings.GossipAddress(), DataCentre: n.Settings.DataCentre(), DataCentres: n.Settings.DataCentres(),
+		Seeds:          func() []string { return n.settings.Load().SeedAddresses() },
+		ShortestTarget: n.shortestTarget, FillState: n.fillState, FillUpstreams: n.fillUpstreams, FillDigest: n.fillDigest, OnMessage: n.receiveNews, OnSent: n.metrics.PeerMessageSent, Logger: n.Logger,
 	}
 }
 
-// fillNews adds this balancer's recent crash records and the state of its upstreams to a message. A full message also
-// has the version of the configuration and the state of the directories.
-func (n *Node) fillNews(now time.Time, message *cvwire.News, sameDataCentre, full bool) {
-	if full {
-		if t := n.routes.Load(); t != nil {
-			message.Version = t.Version()
-		}
-		message.Stopping = n.stopping.Load()
-		n.addReadState(now, message)
-		n.mu.Lock()
-		message.DirectoryAway = n.directoryUnavailable()
-		n.mu.Unlock()
+func (n *Node) shortestTarget() time.Duration {
+	if t := n.routes.Load(); t != nil {
+		return t.ShortestTarget()
+	}
+	return 0
+}
+
+// fillState adds the version of the configuration and the state of the directories to a message.
+func (n *Node) fillState(now time.Time, message *cvwire.News) {
+	if t := n.routes.Load(); t != nil {
+		message.Version = t.Version()
 	}
+	message.Stopping = n.stopping.Load()
+	n.addReadState(now, message)
+	n.mu.Lock()
+	message.DirectoryAway = n.directoryUnavailable()
+	n.mu.Unlock()
+}
+
+// fillUpstreams adds recent crash records and the changed state of the upstreams to a message.
+func (n *Node) fillUpstreams(now time.Time, message *cvwire.News, full bool) {
+	n.addCrashes(now, message)
+	for _, s := range n.allSlots() {
+		s.FillUpstreams(now, message, full)
+	}
+}
+
+// fillDigest adds recent crash records and the load of the upstreams of this data centre to a message.
+func (n *Node) fillDigest(now time.Time, message *cvwire.News, within time.Duration) {
 	n.addCrashes(now, message)
+	message.Digest = &cvwire.Digest{}
 	for _, s := range n.allSlots() {
-		s.FillNews(now, message, sameDataCentre, full)
+		s.FillDigest(now, message.Digest, within)
 	}
 }
 
@@ -51,7 +69,12 @@
 	n.mu.Lock()
 	entries := n.upstreamsByHash
 	if message.GetWhole() && !message.GetDirectoryAway() && message.GetVersion() > 0 {
-		n.peerReachedDirectoryAt = now
+		n.recordPeerRead(now, message.GetReadAgeMs())
+	}
+	for _, m := range message.GetMembers() {
+		if !m.GetDirectoryAway() && m.GetVersion() > 0 {
+			n.recordPeerRead(now, m.GetReadAgeMs())
+		}
 	}
 	n.mu.Unlock()
 	for index, hash := range message.GetUpstreams() {
@@ -59,6 +82,7 @@
 			e.slots.RecordPeerState(now, message, index, e.id)
 		}
 	}
+	n.receiveDigest(now, message.GetDigest(), entries)
 	if message.GetWhole() {
 		for _, s := range n.allSlots() {
 			s.DropStalePeerCounts(now, message.GetProcess())
@@ -66,6 +90,26 @@
 	}
 }
 
+// recordPeerRead records the age of another balancer's last read of the directories. The caller holds the lock.
+func (n *Node) recordPeerRead(now time.Time, ageMs uint32) {
+	if at := now.Add(-time.Duration(ageMs) * time.Millisecond); at.After(n.peerReachedDirectoryAt) {
+		n.peerReachedDirectoryAt = at
+	}
+}
+
+func (n *Node) receiveDigest(now time.Time, digest *cvwire.Digest, entries map[uint32]upstreamEntry) {
+	count := len(digest.GetUpstreams())
+	if len(digest.GetLoad()) != count || len(digest.GetSlowness()) != count || len(digest.GetSlownessAgeMs()) != count {
+		n.Logger.WithField("upstreams", count).Warn("ignored a digest whose lists differ in length")
+		return
+	}
+	for index, hash := range digest.GetUpstreams() {
+		if e, ok := entries[hash]; ok {
+			e.slots.RecordDigest(now, digest, index, e.id)
+		}
+	}
+}
+
 func (n *Node) indexUpstreams(byGroup map[string][]*cvinstance.Instance) {
 	entries := make(map[uint32]upstreamEntry)
 	for group, instances := range byGroup {
--- a/io/operators/cvnodemetrics/cvnodemetrics.go
+++ b/io/operators/cvnodemetrics/cvnodemetrics.go
@@ -28,6 +28,9 @@
 	refusals     *prometheus.CounterVec
 	reachability *prometheus.CounterVec
 	loadReports  *prometheus.CounterVec
+	peerMessages *prometheus.CounterVec
+	peerBytes    *prometheus.CounterVec
+	responses    *prometheus.CounterVec
 	connections  prometheus.Counter
 	version      prometheus.Gauge
 	upstreams    *prometheus.GaugeVec
@@ -42,6 +45,9 @@
 		refusals:     newCounterVec("refusals_total", "Requests refused as not run, by cause.", "cause"),
 		reachability: newCounterVec("directory_reads_total", "Times that a directory of the platform came in or out of reach.", "directory", "result"),
 		loadReports:  newCounterVec("load_reports_total", "Load reports that were asked for, by result.", "result"),
+		peerMessages: newCounterVec("peer_messages_sent_total", "Messages sent to other balancers, by purpose.", "purpose"),
+		peerBytes:    newCounterVec("peer_bytes_sent_total", "Bytes of the messages sent to other balancers, by purpose.", "purpose"),
+		responses:    newCounterVec("response_bytes_total", "Bytes of the bodies of upstreams' responses, by where the upstream is: near for this data centre, else remote.", "upstream"),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "request_seconds", Help: "Time from a request's arrival to its answer, by group.",
 			Buckets: prometheus.ExponentialBuckets(firstBucket, 2, bucketCount),
@@ -52,7 +58,7 @@
 			Namespace: namespace, Name: "upstreams", Help: "Upstreams known, by state.",
 		}, []string{"state"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.refusals, m.reachability, m.loadReports, m.connections, m.version, m.upstreams,
+	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.refusals, m.reachability, m.loadReports, m.peerMessages, m.peerBytes, m.responses, m.connections, m.version, m.upstreams,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -89,6 +95,21 @@
 // LoadReportRequested counts a requested load report, with result taken or missing.
 func (m *Metrics) LoadReportRequested(result string) { m.loadReports.WithLabelValues(result).Inc() }
 
+// PeerMessageSent counts a message to another balancer by its purpose.
+func (m *Metrics) PeerMessageSent(purpose string, bytes int) {
+	m.peerMessages.WithLabelValues(purpose).Inc()
+	m.peerBytes.WithLabelValues(purpose).Add(float64(bytes))
+}
+
+// ResponseReceived counts the body of an upstream's response; near is set for an upstream of this data centre.
+func (m *Metrics) ResponseReceived(near bool, bytes int) {
+	place := "remote"
+	if near {
+		place = "near"
+	}
+	m.responses.WithLabelValues(place).Add(float64(bytes))
+}
+
 // ConnectionOpened counts a new connection to an upstream.
 func (m *Metrics) ConnectionOpened() { m.connections.Inc() }
 
--- a/io/operators/cvnodesettings/cvnodesettings.go
+++ b/io/operators/cvnodesettings/cvnodesettings.go
@@ -13,6 +13,7 @@
 var schema = cvschema.New([]cvfield.Field{
 	{Path: "vm", Kind: cvfield.Text, Required: true, Pattern: `[!-~]{1,100}`, Allowed: "1 to 100 visible characters", Effect: "Name of this VM."},
 	{Path: "dataCentre", Kind: cvfield.Text, Required: true, Pattern: `[!-~]{1,100}`, Allowed: "1 to 100 visible characters", Effect: "Name of the data centre that this VM runs in."},
+	{Path: "dataCentres", Kind: cvfield.Texts, Default: "", Pattern: `[!-~]{1,100}`, Allowed: "a list of names", Effect: "Names of the data centres that run balancers. Until a data centre is heard of, budgets that all balancers share allow for as many there as here."},
 	{Path: "listen", Kind: cvfield.Text, Required: true, Pattern: cvcommonsettings.AddressPattern, Allowed: cvcommonsettings.AddressAllowed, Effect: "Address for callers."},
 	{Path: "ready", Kind: cvfield.Text, Required: true, Pattern: cvcommonsettings.AddressPattern, Allowed: cvcommonsettings.AddressAllowed, Effect: "Address for the platform's readiness checks, which ask whether this VM accepts new connections."},
 	{Path: "peer", Kind: cvfield.Text, Required: true, Pattern: cvcommonsettings.AddressPattern, Allowed: cvcommonsettings.AddressAllowed, Effect: "Address for the other balancers."},
@@ -77,6 +78,9 @@
 	return found
 }
 
+// DataCentres returns the number of data centres that run balancers, or 0 if it is not set.
+func (s *Settings) DataCentres() int { return len(s.Texts("dataCentres")) }
+
 // DirectoryAddress returns the address of the platform's log service.
 func (s *Settings) DirectoryAddress() string { return s.Text("directory") }
 
--- a/io/peers/cvnews/cvnews.go
+++ b/io/peers/cvnews/cvnews.go
@@ -23,36 +23,62 @@
 )
 
 const (
-	// minInterval is the minimum time between two messages with changes: a tenth of the duration of a request. It applies
-	// to other data centres too: if several data centres take the same slot, that costs more than the bytes of the
-	// messages.
+	// minInterval is the minimum time between two messages with changes: a tenth of the duration of a request.
 	minInterval = 20 * time.Millisecond
-	// nearIntervalPerPeer and farIntervalPerPeer, multiplied by the number of receivers in the same data centre or in all
-	// data centres, are the time between two messages with changes, but at least minInterval. They limit what a balancer
-	// receives to some 670 and 250 messages a second, at 20 microseconds of CPU time each, however many balancers there
-	// are.
-	nearIntervalPerPeer = 1500 * time.Microsecond
-	farIntervalPerPeer  = 4 * time.Millisecond
-	// maxListedPeers is the maximum number of peer addresses in a full-state message.
-	maxListedPeers   = 8
+	// intervalPerReceiver, multiplied by the number of receivers, is the time between two messages with changes, but at
+	// least minInterval. It limits what a balancer receives to some 670 messages a second, at 20 microseconds of CPU time
+	// each, however many balancers its data centre has.
+	intervalPerReceiver = 1500 * time.Microsecond
+	// digestTargetShare is the time between two digests from one data centre to another as a share of the shortest target
+	// latency, as the load changes no faster than requests end. It is at least digestIntervalPerBalancer for each
+	// balancer, and at most maxDigestInterval: upstreams are probed no more often.
+	digestTargetShare         = 0.067
+	digestIntervalPerBalancer = 1200 * time.Microsecond
+	maxDigestInterval         = 150 * time.Millisecond
+	// membersInterval is the interval at which one data centre tells another the states of its balancers.
+	membersInterval = 500 * time.Millisecond
+	// maxMembers and maxDigestEntries limit one message, so that it fits into one packet.
+	maxMembers       = 24
+	maxDigestEntries = 120
 	maxDatagramBytes = 16 << 10
 )
 
+// The purposes of messages, for metrics.
+const (
+	purposeChanges   = "changes"
+	purposeState     = "state"
+	purposeDiscovery = "discovery"
+	purposeDigest    = "digest"
+	purposeMembers   = "members"
+	purposeRelay     = "relay"
+)
+
 type fault struct{ cvfault.Fault }
 
 // News exchanges state with the other balancers. It is safe for concurrent use.
 type News struct {
 	// Address is the UDP address at which this balancer receives messages.
 	Address string
-	// DataCentre is the data centre of this balancer.
-	DataCentre string
+	// DataCentre is the data centre of this balancer. DataCentres is the number of data centres with balancers, or 0 if it
+	// is unknown.
+	DataCentre  string
+	DataCentres int
+	// ShortestTarget returns the shortest target latency of all routes, or 0. All balancers of a data centre must know the
+	// same.
+	ShortestTarget func() time.Duration
 	// Seeds returns addresses of some other balancers.
 	Seeds func() []string
-	// Fill adds this balancer's state to a message: all of it if whole is set, else the changes since the last message of
-	// the same kind. near is set for messages that only the same data centre receives.
-	Fill func(now time.Time, message *cvwire.News, near, whole bool)
+	// FillState adds this balancer's own state to a full-state message.
+	FillState func(now time.Time, message *cvwire.News)
+	// FillUpstreams adds the state of the upstreams that has changed since the last message; of those in use it adds all
+	// if whole is set.
+	FillUpstreams func(now time.Time, message *cvwire.News, whole bool)
+	// FillDigest adds the load of the upstreams of this data centre that has changed within the given time.
+	FillDigest func(now time.Time, message *cvwire.News, within time.Duration)
 	// OnMessage is called with each message that is not older than an earlier one from the same balancer.
 	OnMessage func(now time.Time, message *cvwire.News)
+	// OnSent is called with the purpose and the size of each datagram.
+	OnSent func(purpose string, bytes int)
 	// Logger logs errors, and when another balancer becomes available or unavailable.
 	Logger log.Interface
 
@@ -64,12 +90,18 @@
 	number    uint64
 	available map[string]bool
 	conn      net.PacketConn
-	turns     atomic.Pointer[cvturns.Turns]
+	// nearTurns are the turns at upstreams of this data centre, remoteTurns those at others.
+	nearTurns, remoteTurns atomic.Pointer[cvturns.Turns]
+	lastSlot               int64
 }
 
-// MayTakeFreeSlot reports whether it is this balancer's turn to take one of an upstream's free slots.
-func (n *News) MayTakeFreeSlot(now time.Time, upstream string, free int) bool {
-	turns := n.turns.Load()
+// MayTakeFreeSlot reports whether it is this balancer's turn to take one of an upstream's free slots; near is set for
+// an upstream of this data centre.
+func (n *News) MayTakeFreeSlot(now time.Time, upstream string, near bool, free int) bool {
+	turns := n.nearTurns.Load()
+	if !near {
+		turns = n.remoteTurns.Load()
+	}
 	return turns == nil || turns.MayTake(now, upstream, free)
 }
 
@@ -83,7 +115,7 @@
 	n.mu.Lock()
 	n.process = rand.Uint64()
 	n.available = make(map[string]bool)
-	n.peers = cvpeertable.Table{Self: n.Address, DataCentre: n.DataCentre}
+	n.peers = cvpeertable.Table{Self: n.Address, DataCentre: n.DataCentre, DataCentres: n.DataCentres}
 	n.mu.Unlock()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(n.receive)
@@ -150,25 +182,23 @@
 	return n.peers.Live(time.Now(), false)
 }
 
-// sendLoop sends changes and, at a longer interval, the full state.
+// sendLoop sends changes and, at a longer interval, the full state to the balancers of this data centre, and digests to
+// the other data centres.
 func (n *News) sendLoop(ctx context.Context) error {
 	ticker := time.NewTicker(minInterval)
 	defer ticker.Stop()
-	var near, far time.Time
+	var sentAt time.Time
 	for {
 		select {
 		case now := <-ticker.C:
-			switch {
-			case n.stateDue(now):
-				far, near = now, now
+			if n.stateDue(now) {
+				sentAt = now
 				n.sendState(now)
-			case now.Sub(far) >= n.changeInterval(now, false):
-				far, near = now, now
-				n.sendChanges(now, false)
-			case now.Sub(near) >= n.changeInterval(now, true):
-				near = now
-				n.sendChanges(now, true)
+			} else if now.Sub(sentAt) >= n.changeInterval(now) {
+				sentAt = now
+				n.sendChanges(now)
 			}
+			n.sendDigests(now)
 		case <-ctx.Done():
 			return nil
 		}
@@ -181,55 +211,85 @@
 	return n.peers.StateDue(now)
 }
 
-// changeInterval returns the time between two messages with changes, to the same data centre if near, else to all.
-func (n *News) changeInterval(now time.Time, near bool) time.Duration {
+// changeInterval returns the time between two messages with changes.
+func (n *News) changeInterval(now time.Time) time.Duration {
 	n.mu.Lock()
-	receivers := len(n.peers.Live(now, near))
+	receivers := len(n.peers.StateReceivers(now))
 	n.mu.Unlock()
-	perPeer := farIntervalPerPeer
-	if near {
-		perPeer = nearIntervalPerPeer
-	}
 	// The ticker may fire a little early.
-	return intervalFor(receivers, perPeer) - minInterval/2
+	return intervalFor(receivers) - minInterval/2
 }
 
-func intervalFor(receivers int, perPeer time.Duration) time.Duration {
-	return max(minInterval, time.Duration(receivers)*perPeer)
+func intervalFor(receivers int) time.Duration {
+	return max(minInterval, time.Duration(receivers)*intervalPerReceiver)
 }
 
-// sendState sends the full state to all live balancers and to addresses that are due for another attempt.
+// digestInterval returns the time between two digests from one data centre to another. The balancers of a data centre
+// take turns, so it depends only on what they all know.
+func (n *News) digestInterval(balancers int) time.Duration {
+	byTarget := time.Duration(digestTargetShare * float64(n.ShortestTarget()))
+	return min(max(minInterval, byTarget, time.Duration(balancers)*digestIntervalPerBalancer), maxDigestInterval)
+}
+
+// sendState sends the full state to the live balancers of this data centre, to others that have asked for it, and to
+// addresses that are due for another attempt.
 func (n *News) sendState(now time.Time) {
 	n.mu.Lock()
 	n.peers.AddAddresses(now, n.Seeds())
 	live := n.peers.Live(now, false)
-	targets := append(n.peers.AddressesToRetry(now), live...)
+	receivers, replies, silent := n.peers.StateReceivers(now), n.peers.TakeReplies(), n.peers.AddressesToRetry(now)
 	n.logPeerChanges(live)
 	n.peers.RecordStateSent(now)
-	turns := cvturns.New(n.Address, live, intervalFor(len(live), farIntervalPerPeer))
-	n.turns.Store(&turns)
+	n.setTurns(live, receivers)
 	n.mu.Unlock()
-	message := &cvwire.News{Address: n.Address, DataCentre: n.DataCentre, Whole: true}
-	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	message.Peers = live[:min(len(live), maxListedPeers)]
-	n.Fill(now, message, false, true)
-	n.send(targets, message)
+	state := &cvwire.News{Address: n.Address, DataCentre: n.DataCentre, Whole: true}
+	n.FillState(now, state)
+	n.FillUpstreams(now, state, true)
+	n.sendWithPeers(now, purposeState, receivers, n.DataCentre, state, false)
+	n.sendWithPeers(now, purposeDiscovery, silent, n.DataCentre, state, true)
+	for dataCentre, targets := range replies {
+		n.sendWithPeers(now, purposeDiscovery, targets, dataCentre, state, false)
+	}
 }
 
-// sendChanges sends changes, if any, to the same data centre if near, else to all.
-func (n *News) sendChanges(now time.Time, near bool) {
+// setTurns sets the turns for the balancers that share the upstreams of this data centre, and of the others. The caller
+// holds the lock.
+func (n *News) setTurns(live, receivers []string) {
+	interval := intervalFor(len(receivers))
+	near := cvturns.New(n.Address, receivers, interval)
+	remote := cvturns.New(n.Address, live, n.digestInterval(len(live)+1)+interval)
+	n.nearTurns.Store(&near)
+	n.remoteTurns.Store(&remote)
+}
+
+// sendWithPeers sends a full-state message with addresses for receivers in a data centre.
+func (n *News) sendWithPeers(now time.Time, purpose string, targets []string, dataCentre string, state *cvwire.News, wantsReply bool) {
+	if len(targets) == 0 {
+		return
+	}
+	state.Peers, state.PeerDataCentres, state.WantsReply = nil, nil, wantsReply
+	n.mu.Lock()
+	n.peers.ListPeers(now, dataCentre, state, func(addresses []string) {
+		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	})
+	n.mu.Unlock()
+	n.send(purpose, targets, state)
+}
+
+// sendChanges sends changes, if any, to the balancers of this data centre.
+func (n *News) sendChanges(now time.Time) {
 	n.mu.Lock()
-	targets := n.peers.Live(now, near)
+	targets := n.peers.StateReceivers(now)
 	n.mu.Unlock()
 	if len(targets) == 0 {
 		return
 	}
 	message := &cvwire.News{}
-	n.Fill(now, message, near, false)
+	n.FillUpstreams(now, message, false)
 	if len(message.GetUpstreams()) == 0 && len(message.GetSuspects()) == 0 {
 		return
 	}
-	n.send(targets, message)
+	n.send(purposeChanges, targets, message)
 }
 
 // logPeerChanges logs which balancers became live or stopped being live. The caller holds the lock.
@@ -249,7 +309,7 @@
 	n.available = present
 }
 
-func (n *News) send(targets []string, message *cvwire.News) {
+func (n *News) send(purpose string, targets []string, message *cvwire.News) {
 	n.mu.Lock()
 	n.number++
 	message.Process, message.Number = n.process, n.number
@@ -267,6 +327,7 @@
 		}
 		// A datagram that cannot be sent counts as lost; the next message replaces it.
 		_, _ = n.conn.WriteTo(content, address)
+		n.OnSent(purpose, len(content))
 	}
 }
 
@@ -295,12 +356,22 @@
 
 // handleMessage ignores messages that are out of date.
 func (n *News) handleMessage(now time.Time, from string, message *cvwire.News) {
+	var receivers []string
 	n.mu.Lock()
 	fresh := n.peers.RecordMessage(now, from, message.GetProcess(), message.GetNumber())
 	if fresh && message.GetWhole() {
 		n.peers.RecordState(now, from, message)
 	}
+	if fresh && len(message.GetMembers()) > 0 {
+		n.peers.RecordMembers(now, message.GetMembersDataCentre(), message.GetMembers())
+		if !message.GetRelayed() {
+			receivers = n.peers.Live(now, true)
+		}
+	}
 	n.mu.Unlock()
+	if len(receivers) > 0 {
+		n.send(purposeRelay, receivers, &cvwire.News{Members: message.GetMembers(), MembersDataCentre: message.GetMembersDataCentre(), Relayed: true})
+	}
 	if fresh {
 		n.OnMessage(now, message)
 	}
--- a/io/peers/cvnews/cvnews_test.go
+++ b/io/peers/cvnews/cvnews_test.go
@@ -26,14 +26,26 @@
 	mu       sync.Mutex
 	number   uint32
 	received map[uint32]uint32
+	// local holds the numbers received in messages that are meant for one data centre.
+	local map[uint32]bool
+	sent  map[string]int
 }
 
-func (b *balancer) fill(_ time.Time, message *cvwire.News, _, _ bool) {
+func (b *balancer) fillState(_ time.Time, message *cvwire.News) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	message.Version = int64(b.number)
+}
+
+func (b *balancer) fillUpstreams(_ time.Time, message *cvwire.News, _ bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	message.Upstreams = []uint32{b.number}
 	message.InFlight = []uint32{b.number}
-	message.Version = int64(b.number)
+}
+
+func (b *balancer) fillDigest(_ time.Time, message *cvwire.News, _ time.Duration) {
+	message.Digest = &cvwire.Digest{Upstreams: []uint32{b.number}, Load: []uint32{b.number}, Slowness: []uint32{0}, SlownessAgeMs: []uint32{0}}
 }
 
 func (b *balancer) receive(_ time.Time, message *cvwire.News) {
@@ -41,9 +53,19 @@
 	defer b.mu.Unlock()
 	for i, u := range message.GetUpstreams() {
 		b.received[u] = message.GetInFlight()[i]
+		b.local[u] = true
+	}
+	for i, u := range message.GetDigest().GetUpstreams() {
+		b.received[u] = message.GetDigest().GetLoad()[i]
 	}
 }
 
+func (b *balancer) countSent(purpose string, bytes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sent[purpose] += bytes
+}
+
 func (b *balancer) hasReceived(number uint32) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -59,10 +81,10 @@
 	at := func(n int) string { return fmt.Sprintf("127.0.2.%d:%d", n+1, port) }
 	var all []*balancer
 	for n := range count {
-		b := &balancer{done: make(chan error, 1), number: uint32(n + 1), received: make(map[uint32]uint32)}
+		b := &balancer{done: make(chan error, 1), number: uint32(n + 1), received: make(map[uint32]uint32), local: make(map[uint32]bool), sent: make(map[string]int)}
 		b.news = &cvnews.News{
 			Address: at(n), DataCentre: fmt.Sprint("dc", n%2), Seeds: func() []string { return []string{at(0)} },
-			Fill: b.fill, OnMessage: b.receive, Logger: &log.Logger{Handler: discard.Default},
+			ShortestTarget: func() time.Duration { return 0 }, FillState: b.fillState, FillUpstreams: b.fillUpstreams, FillDigest: b.fillDigest, OnMessage: b.receive, OnSent: b.countSent, Logger: &log.Logger{Handler: discard.Default},
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		b.stop = cancel
@@ -104,6 +126,43 @@
 	}
 }
 
+// TestMessagesBetweenDataCentres guards against traffic between data centres that grows with the number of balancers:
+// once they know each other, changes stay within a data centre, and digests reach the others.
+func TestMessagesBetweenDataCentres(t *testing.T) {
+	const count = 12
+	all := start(t, count)
+	defer func() {
+		for _, b := range all {
+			b.stop()
+		}
+		for _, b := range all {
+			require.NoError(t, <-b.done)
+		}
+	}()
+	for _, b := range all {
+		require.Eventually(t, func() bool { return len(b.news.Live()) == count-1 }, 30*time.Second, 5*time.Millisecond)
+	}
+	// A balancer may have heard of another before it knew its data centre.
+	for _, b := range all {
+		b.mu.Lock()
+		clear(b.local)
+		clear(b.received)
+		b.mu.Unlock()
+	}
+	for _, b := range all {
+		for number := uint32(1); number <= count; number++ {
+			require.Eventually(t, func() bool { return number == b.number || b.hasReceived(number) }, 30*time.Second, 5*time.Millisecond)
+		}
+	}
+	for _, b := range all {
+		b.mu.Lock()
+		for number := range b.local {
+			require.Equal(t, b.number%2, number%2, "balancer %d received the changes of balancer %d of another data centre", b.number, number)
+		}
+		b.mu.Unlock()
+	}
+}
+
 // TestInvalidDatagrams guards against invalid datagrams that stop the balancer or add a peer.
 func TestInvalidDatagrams(t *testing.T) {
 	all := start(t, 1)
--- a/io/upstreams/cvslots/cvslots.go
+++ b/io/upstreams/cvslots/cvslots.go
@@ -39,9 +39,9 @@
 	Budget *cvbudget.Budget
 	// Balancers returns the number of balancers that share the budget.
 	Balancers func() int
-	// MayTakeFreeSlot reports whether this balancer may take one of the free slots of an upstream while other balancers
-	// have waiting requests too.
-	MayTakeFreeSlot func(now time.Time, id string, free int) bool
+	// MayTakeFreeSlot reports whether this balancer may take one of the free slots of an upstream, near if it is in the
+	// same data centre, while other balancers have waiting requests too.
+	MayTakeFreeSlot func(now time.Time, id string, near bool, free int) bool
 
 	mu        sync.Mutex
 	admission *cvadmission.Admission
@@ -51,9 +51,8 @@
 	// ready holds the channels that are closed when the waits end.
 	ready         map[*cvwaiter.Waiter]chan struct{}
 	lastRequestAt time.Time
-	// The IDs of the upstreams whose state has changed since the last message to the balancers of this data centre, and
-	// since the last message to all balancers.
-	changedLocal, changedAll map[string]struct{}
+	// changed holds the IDs of the upstreams whose state has changed since the last message to the other balancers.
+	changed map[string]struct{}
 }
 
 // Update replaces the set of upstreams of the group.
@@ -68,7 +67,7 @@
 func (s *Slots) init() {
 	if s.admission == nil {
 		s.admission = &cvadmission.Admission{Selector: &cvselector.Selector{DataCentre: s.DataCentre, MayTakeFreeSlot: s.MayTakeFreeSlot}}
-		s.changedLocal, s.changedAll = make(map[string]struct{}), make(map[string]struct{})
+		s.changed = make(map[string]struct{})
 		s.durations = make(map[string]*cvquantile.Quantile)
 		s.priorWaits = make(map[string]*cvpriorwait.Estimator)
 		s.ready = make(map[*cvwaiter.Waiter]chan struct{})
--- a/io/upstreams/cvslots/news.go
+++ b/io/upstreams/cvslots/news.go
@@ -22,38 +22,28 @@
 func Hash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
 // markChanged marks an upstream's state to be sent to the peers. The caller holds the lock.
-func (s *Slots) markChanged(id string) {
-	s.changedLocal[id] = struct{}{}
-	s.changedAll[id] = struct{}{}
-}
+func (s *Slots) markChanged(id string) { s.changed[id] = struct{}{} }
 
-// FillNews adds the upstream states that have changed since the last message to the same balancers: those of this data
-// centre if sameDataCentre is true, else all. A full message also has every upstream in use by this balancer.
-func (s *Slots) FillNews(now time.Time, message *cvwire.News, sameDataCentre, full bool) {
+// FillUpstreams adds the upstream states that have changed since the last message. A full message also has every
+// upstream in use by this balancer.
+func (s *Slots) FillUpstreams(now time.Time, message *cvwire.News, full bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.init()
-	changed := s.changedLocal
-	if !sameDataCentre {
-		changed = s.changedAll
-	}
 	if full {
 		for _, id := range s.admission.Selector.UpstreamsInUse() {
-			changed[id] = struct{}{}
+			s.markChanged(id)
 		}
 	}
-	for id := range changed {
+	for id := range s.changed {
 		s.addState(now, message, id)
 	}
-	clear(s.changedLocal)
-	if !sameDataCentre {
-		clear(s.changedAll)
-	}
+	clear(s.changed)
 }
 
 // The caller holds the lock.
 func (s *Slots) addState(now time.Time, message *cvwire.News, id string) {
-	inFlight, age, busy, slowness, known := s.admission.Selector.StateForPeers(now, id)
+	inFlight, age, busy, slownessAge, slowness, known := s.admission.Selector.StateForPeers(now, id)
 	if !known {
 		return
 	}
@@ -66,6 +56,34 @@
 	message.AgeMs = append(message.AgeMs, ageMs)
 	message.Busy = append(message.Busy, uint32(busy))
 	message.Slowness = append(message.Slowness, uint32(slowness*slownessScale))
+	message.SlownessAgeMs = append(message.SlownessAgeMs, milliseconds(slownessAge))
+}
+
+// milliseconds returns a duration in milliseconds, at most unknownReportAge.
+func milliseconds(d time.Duration) uint32 { return uint32(min(d, unknownReportAge).Milliseconds()) }
+
+// FillDigest adds the load of the upstreams of this data centre that has changed within the given time.
+func (s *Slots) FillDigest(now time.Time, digest *cvwire.Digest, within time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	s.admission.Selector.Changes(now, within, func(id string, load int, slownessAge time.Duration, slowness float64) {
+		digest.Upstreams = append(digest.Upstreams, Hash(id))
+		digest.Load = append(digest.Load, uint32(load))
+		digest.Slowness = append(digest.Slowness, uint32(slowness*slownessScale))
+		digest.SlownessAgeMs = append(digest.SlownessAgeMs, milliseconds(slownessAge))
+	})
+}
+
+// RecordDigest records the load of an upstream of another data centre, at an index of a digest, and passes it on to the
+// balancers of this data centre.
+func (s *Slots) RecordDigest(now time.Time, digest *cvwire.Digest, index int, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	slownessAge := time.Duration(digest.GetSlownessAgeMs()[index]) * time.Millisecond
+	s.admission.Selector.RecordPeerReport(now, id, 0, int(digest.GetLoad()[index]), slownessAge, float64(digest.GetSlowness()[index])/slownessScale)
+	s.markChanged(id)
 }
 
 // UpstreamState returns this balancer's in-flight count of an upstream and the upstream's last load report. The age is
@@ -74,7 +92,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.init()
-	inFlight, age, busy, slowness, _ = s.admission.Selector.StateForPeers(now, id)
+	inFlight, age, busy, _, slowness, _ = s.admission.Selector.StateForPeers(now, id)
 	return inFlight, min(age, unknownReportAge), busy, slowness
 }
 
@@ -86,7 +104,11 @@
 	s.admission.Selector.RecordPeerInFlight(now, message.GetProcess(), id, int(message.GetInFlight()[index]))
 	if ageMs := message.GetAgeMs()[index]; ageMs > 0 {
 		age := time.Duration(ageMs-1) * time.Millisecond
-		s.admission.Selector.RecordPeerReport(now, id, age, int(message.GetBusy()[index]), float64(message.GetSlowness()[index])/slownessScale)
+		slownessAge := age
+		if ages := message.GetSlownessAgeMs(); index < len(ages) {
+			slownessAge = time.Duration(ages[index]) * time.Millisecond
+		}
+		s.admission.Selector.RecordPeerReport(now, id, age, int(message.GetBusy()[index]), slownessAge, float64(message.GetSlowness()[index])/slownessScale)
 	}
 }
 
