--- a/core/cvadmission/fleet_test.go
+++ b/core/cvadmission/fleet_test.go
@@ -20,15 +20,12 @@
 	"comfreyvale/core/cvwaiter"
 )
 
-// The simulated fleet: several balancers share upstreams of three slots. An upstream slows down when its last slot is
+// The simulated fleet: several balancers share upstreams of few slots. An upstream slows down when its last slot is
 // taken, and other VMs on its machine slow it down for 300 ms at a time.
 const (
 	fleetBalancers   = 6
 	fleetDataCentres = 4
 	fleetUpstreams   = 20
-	fleetSlots       = 3
-	// fleetIdealSlots is how many requests the ideal queue runs on an upstream at a time, so that it stays fast.
-	fleetIdealSlots = 2
 	// fleetSlowShare is the fraction of time in which a machine is slow.
 	fleetSlowShare = 0.35
 	// fleetMaxReportAge is the age from which a load report is requested again.
@@ -63,12 +60,14 @@
 
 type fleetSimulation struct {
 	simulation
+	// slots is the number of slots of an upstream.
+	slots            int
 	possible, earned float64
 	late, refused    int
 }
 
-func newFleet(seed uint64) *fleetSimulation {
-	f := &fleetSimulation{simulation: simulation{random: rand.New(rand.NewPCG(seed, 2))}}
+func newFleet(seed uint64, slots int) *fleetSimulation {
+	f := &fleetSimulation{slots: slots, simulation: simulation{random: rand.New(rand.NewPCG(seed, 2))}}
 	for n := range fleetUpstreams {
 		f.upstreams = append(f.upstreams, &upstream{seed: seed*1000 + uint64(n), slowShare: fleetSlowShare})
 	}
@@ -87,7 +86,7 @@
 // serve runs a request on upstream n and calls ended when it completes.
 func (f *fleetSimulation) serve(now time.Time, r *simRequest, n int, ended func(now time.Time)) {
 	u := f.upstreams[n]
-	if u.running >= fleetSlots {
+	if u.running >= f.slots {
 		u.queue = append(u.queue, func(now time.Time) { f.serve(now, r, n, ended) })
 		return
 	}
@@ -112,7 +111,7 @@
 
 func (f *fleetSimulation) duration(now time.Time, r *simRequest, n int) time.Duration {
 	took := float64(r.work) * f.upstreams[n].slowness(now)
-	if f.upstreams[n].running >= fleetSlots {
+	if f.upstreams[n].running >= f.slots {
 		took *= simFullSlowdown
 	}
 	return time.Duration(took)
@@ -140,16 +139,17 @@
 	return all
 }
 
-func newBalancers(turns bool) []*balancer {
+func newBalancers(turns bool, slots int) []*balancer {
 	var all []*balancer
 	for id := range uint64(fleetBalancers) {
 		var instances []*cvinstance.Instance
 		for n := range fleetUpstreams {
-			instances = append(instances, cvinstance.New(fmt.Sprint(n), "g", "", dataCentre(n), fleetSlots))
+			instances = append(instances, cvinstance.New(fmt.Sprint(n), "g", "", dataCentre(n), slots))
 		}
 		s := &cvselector.Selector{DataCentre: dataCentre(int(id))}
 		if turns {
-			s.MayTakeFreeSlot = cvturns.New(address(int(id)), peerAddresses(int(id)), simTick).MayTake
+			turns := cvturns.New(address(int(id)), peerAddresses(int(id)), simTick)
+			s.MayTakeFreeSlot = func(now time.Time, id string, _ bool, free int) bool { return turns.MayTake(now, id, free) }
 		}
 		s.Update(simStart, instances)
 		all = append(all, &balancer{id: id, selector: s, admission: &cvadmission.Admission{Selector: s}, waiting: make(map[*cvwaiter.Waiter]*simRequest)})
@@ -162,11 +162,11 @@
 	for _, from := range all {
 		for n := range fleetUpstreams {
 			id := fmt.Sprint(n)
-			inFlight, age, busy, slowness, _ := from.selector.StateForPeers(now, id)
+			inFlight, age, busy, slownessAge, slowness, _ := from.selector.StateForPeers(now, id)
 			for _, to := range all {
 				if to != from {
 					to.selector.RecordPeerInFlight(now, from.id, id, inFlight)
-					to.selector.RecordPeerReport(now, id, age, busy, slowness)
+					to.selector.RecordPeerReport(now, id, age, busy, slownessAge, slowness)
 				}
 			}
 		}
@@ -176,15 +176,15 @@
 func (f *fleetSimulation) probe(now time.Time, all []*balancer) {
 	for n, u := range f.upstreams {
 		b := all[n%len(all)]
-		if _, age, _, _, _ := b.selector.StateForPeers(now, fmt.Sprint(n)); age > fleetMaxReportAge {
-			b.selector.RecordPeerReport(now, fmt.Sprint(n), 0, u.running+len(u.queue), u.slowness(now))
+		if _, age, _, _, _, _ := b.selector.StateForPeers(now, fmt.Sprint(n)); age > fleetMaxReportAge {
+			b.selector.RecordPeerReport(now, fmt.Sprint(n), 0, u.running+len(u.queue), 0, u.slowness(now))
 		}
 	}
 }
 
-func simulateFleet(seed uint64, perSecond float64, turns bool) *fleetSimulation {
-	f := newFleet(seed)
-	all := newBalancers(turns)
+func simulateFleet(seed uint64, perSecond float64, turns bool, slots int) *fleetSimulation {
+	f := newFleet(seed, slots)
+	all := newBalancers(turns, slots)
 	var advance func(now time.Time, b *balancer)
 	var arrive func(now time.Time, r *simRequest)
 	run := func(now time.Time, b *balancer, w *cvwaiter.Waiter, r *simRequest) {
@@ -192,7 +192,7 @@
 		fmt.Sscan(w.Instance().ID(), &n)
 		f.serve(now, r, n, func(now time.Time) {
 			b.selector.Done(now, w.Instance().ID(), w.GrantedAt(), comfreyvale.ResultAnswered)
-			b.selector.RecordReport(now, w.Instance().ID(), cvloadreport.New(f.upstreams[n].running, len(f.upstreams[n].queue), fleetSlots, f.upstreams[n].slowness(now)), 0)
+			b.selector.RecordReport(now, w.Instance().ID(), cvloadreport.New(f.upstreams[n].running, len(f.upstreams[n].queue), slots, f.upstreams[n].slowness(now)), 0)
 			b.admission.RecordRelease(now)
 			advance(now, b)
 		})
@@ -246,8 +246,13 @@
 // simulateIdealQueue uses a single queue that knows each request's work and each machine's current speed. It uses only
 // machines of normal speed and first starts the request with the most credit for its work; one that can no longer be on
 // time counts with the credit for a late answer.
-func simulateIdealQueue(seed uint64, perSecond float64) *fleetSimulation {
-	f := newFleet(seed)
+func simulateIdealQueue(seed uint64, perSecond float64, slots int) *fleetSimulation {
+	f := newFleet(seed, slots)
+	// It leaves the last slot free, which slows an upstream down, except where two slots with that are quicker than one.
+	used := slots - 1
+	if float64(slots)/simFullSlowdown > float64(used) {
+		used = slots
+	}
 	var waiting []*simRequest
 	var advance func(now time.Time)
 	start := func(now time.Time, i, n int) {
@@ -257,7 +262,7 @@
 	}
 	findFast := func(now time.Time) int {
 		for n, u := range f.upstreams {
-			if u.running < fleetIdealSlots && u.slowness(now) == 1 {
+			if u.running < used && u.slowness(now) == 1 {
 				return n
 			}
 		}
@@ -301,21 +306,24 @@
 // of that of an ideal queue.
 func TestFleet(t *testing.T) {
 	cases := map[string]struct {
+		slots     int
 		perSecond float64
 		fullLoad  bool
 		// share is the least fraction of the ideal queue's credit, 0 for no bound.
 		share float64
 	}{
-		"easy":             {perSecond: 60, share: 0.9},
-		"all it can carry": {perSecond: 100, share: 0.9, fullLoad: true},
-		"a fifth too much": {perSecond: 120, fullLoad: true},
-		"half too much":    {perSecond: 150, fullLoad: true},
+		"easy":                          {slots: 3, perSecond: 60, share: 0.9},
+		"all it can carry":              {slots: 3, perSecond: 100, share: 0.9, fullLoad: true},
+		"a fifth too much":              {slots: 3, perSecond: 120, fullLoad: true},
+		"half too much":                 {slots: 3, perSecond: 150, fullLoad: true},
+		"two slots":                     {slots: 2, perSecond: 35, share: 0.9},
+		"two slots, all they can carry": {slots: 2, perSecond: 60, share: 0.9},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			const seed = 1
-			turns, without, best := simulateFleet(seed, c.perSecond, true), simulateFleet(seed, c.perSecond, false), simulateIdealQueue(seed, c.perSecond)
+			turns, without, best := simulateFleet(seed, c.perSecond, true, c.slots), simulateFleet(seed, c.perSecond, false, c.slots), simulateIdealQueue(seed, c.perSecond, c.slots)
 			t.Logf("%d requests: credit %.3f, late %d, refused %d; without turns %.3f, %d, %d; ideal %.3f", turns.result.total,
 				turns.credit(), turns.late, turns.refused, without.credit(), without.late, without.refused, best.credit())
 			require.GreaterOrEqual(t, turns.credit(), c.share*best.credit())
--- a/core/cvselector/cvselector.go
+++ b/core/cvselector/cvselector.go
@@ -33,18 +33,23 @@
 	serviceTimeQuantile = 0.35
 	// slownessGain is the weight of a new report in the moving average of the slowness.
 	slownessGain = 0.05
-	// usableSlotShare is the share of an upstream's slots that balancers use: most upstreams slow down when nearly
-	// full, which costs more throughput than the last slots add.
+	// usableSlotShare is the share of an upstream's slots above which most upstreams slow down.
 	usableSlotShare = 0.8
+	// nearFullSlowdown is how much longer a request takes on an upstream that is nearly full. The last slots are used
+	// only if they add more throughput than this costs, as with two slots.
+	nearFullSlowdown = 1.7
 	// loadTolerance is how much an estimated load, which is fractional, may exceed the integer limit.
 	loadTolerance = 0.3
 	// warmUpPenalty multiplies the expected latency of an upstream that is warming up.
 	warmUpPenalty = 2
-	// remotePenalty is added to the expected latency of an upstream in another data centre: the round-trip time, and
-	// the price of the traffic expressed as time.
-	remotePenalty = 60 * time.Millisecond
-	// largeRemotePenalty replaces remotePenalty for large answers, whose transfer between data centres is expensive.
-	largeRemotePenalty = 300 * time.Millisecond
+	// minRemotePenalty and minLargeRemotePenalty, for large answers, are added at least to the expected latency of an
+	// upstream in another data centre: the round-trip time, and the price of the traffic expressed as time.
+	minRemotePenalty      = 60 * time.Millisecond
+	minLargeRemotePenalty = 300 * time.Millisecond
+	// remotePenaltyShare and largeRemotePenaltyShare are the penalty as a share of the time until the target. An answer
+	// that is on time from this data centre is as good as a quicker one from another.
+	remotePenaltyShare      = 0.25
+	largeRemotePenaltyShare = 0.5
 	// failureGain is the weight of a new result in the moving average of the failure share.
 	failureGain = 0.2
 	// failurePenalty is the relative increase of the expected latency of an upstream whose attempts all fail.
@@ -137,7 +142,7 @@
 		if load+1 > limit || reqs.InTurn() && !s.hasTurn(now, u, int(limit-load)) {
 			continue
 		}
-		expected := s.expectedLatency(now, u, reqs) * (1 + jitterShare*cvjitter.Fraction(draw, n))
+		expected := s.expectedLatency(now, u, load, reqs) * (1 + jitterShare*cvjitter.Fraction(draw, n))
 		if best == nil || expected < bestTime {
 			best, bestTime = u, expected
 		}
@@ -187,7 +192,16 @@
 
 // inFlightLimit returns the highest load that an upstream may reach.
 func inFlightLimit(instance *cvinstance.Instance) float64 {
-	return max(math.Floor(usableSlotShare*float64(instance.Slots())), 1) + loadTolerance
+	slots := float64(instance.Slots())
+	if limit := fullSpeedLimit(instance); limit > slots/nearFullSlowdown {
+		return limit + loadTolerance
+	}
+	return slots + loadTolerance
+}
+
+// fullSpeedLimit returns the highest load at which an upstream does not slow down.
+func fullSpeedLimit(instance *cvinstance.Instance) float64 {
+	return max(math.Floor(usableSlotShare*float64(instance.Slots())), 1)
 }
 
 // serviceTimeOf returns the expected service time on a machine of normal speed: that of similar requests if known,
@@ -213,20 +227,29 @@
 	return float64(len(u.attempts)+u.peerInFlight(now)) + u.unattributed*decay(now.Sub(u.reportedAt), loadDecayTime)
 }
 
-// expectedLatency returns the expected latency of one more request in nanoseconds.
-func (s *Selector) expectedLatency(now time.Time, u *upstream, reqs cvrequirements.Requirements) float64 {
+// expectedLatency returns the expected latency of one more request in nanoseconds, on an upstream with the given load.
+func (s *Selector) expectedLatency(now time.Time, u *upstream, load float64, reqs cvrequirements.Requirements) float64 {
 	latency := float64(s.serviceTimeOf(reqs)) * s.expectedSlowness(now, u)
 	if now.Before(u.warmUntil) {
 		latency *= warmUpPenalty
 	}
+	if load+1 > fullSpeedLimit(u.instance)+loadTolerance {
+		latency *= nearFullSlowdown
+	}
 	latency *= 1 + failurePenalty*u.failureShare*decay(now.Sub(u.failureShareAt), failureDecayTime)
 	if s.near(u) {
 		return latency
 	}
+	return latency + float64(remotePenalty(now, reqs))
+}
+
+// remotePenalty returns the time by which an upstream in another data centre must be quicker.
+func remotePenalty(now time.Time, reqs cvrequirements.Requirements) time.Duration {
+	remaining := float64(reqs.Target().Sub(now))
 	if reqs.Large() {
-		return latency + float64(largeRemotePenalty)
+		return max(minLargeRemotePenalty, time.Duration(largeRemotePenaltyShare*remaining))
 	}
-	return latency + float64(remotePenalty)
+	return max(minRemotePenalty, time.Duration(remotePenaltyShare*remaining))
 }
 
 // expectedSlowness returns the last reported slowness, which moves towards the average as it ages, but at least the
--- a/core/cvselector/cvselector_test.go
+++ b/core/cvselector/cvselector_test.go
@@ -107,13 +107,15 @@
 // TestPrefers checks that Pick chooses the upstream that is expected to answer soonest.
 func TestPrefers(t *testing.T) {
 	report := func(s *cvselector.Selector, id string, age time.Duration, slowness float64) {
-		s.RecordPeerReport(start, id, age, 0, slowness)
+		s.RecordPeerReport(start, id, age, 0, age, slowness)
 	}
+	const target = 500 * time.Millisecond
 	cases := map[string]struct {
 		prepare  func(s *cvselector.Selector)
 		large    bool
 		expected string
 	}{
+		"the near one that is on time as well":     {func(s *cvselector.Selector) { report(s, "0", 0, 2); report(s, "2", 0, 1); report(s, "1", 0, 4) }, false, "0"},
 		"the near one":                             {func(*cvselector.Selector) {}, false, "0"},
 		"the far one when the near one is slow":    {func(s *cvselector.Selector) { report(s, "0", 0, 4); report(s, "2", 0, 1); report(s, "1", 0, 4) }, false, "2"},
 		"the near one for a big answer":            {func(s *cvselector.Selector) { report(s, "0", 0, 2); report(s, "2", 0, 1); report(s, "1", 0, 2.5) }, true, "0"},
@@ -124,9 +126,9 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			s := selector(start, instance(0, "near", false), instance(1, "near", false), instance(2, "far", false))
-			s.RecordPeerReport(start, "1", 0, 0, 1.2)
+			s.RecordPeerReport(start, "1", 0, 0, 0, 1.2)
 			c.prepare(s)
-			reqs := cvrequirements.New(start.Add(time.Minute), start.Add(time.Hour), 0, c.large).WithServiceTime(100 * time.Millisecond)
+			reqs := cvrequirements.New(start.Add(target), start.Add(time.Hour), 0, c.large).WithServiceTime(100 * time.Millisecond)
 			for draw := range uint64(20) {
 				i, ok := s.Pick(start, draw, reqs)
 				require.True(t, ok)
@@ -161,7 +163,7 @@
 // TestPickBeforeTarget checks that a free slot of an upstream that is too slow for the target time is not taken.
 func TestPickBeforeTarget(t *testing.T) {
 	s := selector(start, instance(0, "near", false))
-	s.RecordPeerReport(start, "0", 0, 0, 4)
+	s.RecordPeerReport(start, "0", 0, 0, 0, 4)
 	reqs := cvrequirements.New(start.Add(300*time.Millisecond), start.Add(time.Second), 0, false).WithServiceTime(100 * time.Millisecond)
 	i, free := s.PickBeforeTarget(start, 1, reqs)
 	require.Nil(t, i)
@@ -180,3 +182,36 @@
 	s.Update(start, []*cvinstance.Instance{instance(0, "near", false).WithSequence(9, 0), instance(1, "near", false)})
 	require.Empty(t, s.Ejected(start))
 }
+
+// TestLastSlot checks that the last slot of an upstream is used only where that adds throughput, and after free slots
+// of others.
+func TestLastSlot(t *testing.T) {
+	cases := map[string]struct{ slots, usable int }{
+		"one":   {1, 1},
+		"two":   {2, 2},
+		"three": {3, 2},
+		"four":  {4, 3},
+		"eight": {8, 6},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			const count = 3
+			var instances []*cvinstance.Instance
+			for n := range count {
+				instances = append(instances, cvinstance.New(fmt.Sprint(n), "g", "", "near", c.slots))
+			}
+			s := selector(start, instances...)
+			begun := map[string]int{}
+			for taken := range count * c.usable {
+				i, ok := s.Pick(start, uint64(taken), requirements())
+				require.True(t, ok, "%d taken", taken)
+				begun[i.ID()]++
+				if c.slots == 2 && taken < count {
+					require.Equal(t, 1, begun[i.ID()], "an idle upstream comes before the last slot of another")
+				}
+			}
+			_, ok := s.Pick(start, 0, requirements())
+			require.False(t, ok)
+		})
+	}
+}
