Read on before a caller's connection is closed

Cause: serve closed the connection as soon as the last response was written, so that lingering had no effect: input behind the last request made the close a reset, which can destroy the response. Change: after the write side is closed, input is discarded until the caller closes, 0.5 s at most; while the last request runs, what follows it is discarded. Tests, each seen failing on the old code: TestLinger, TestCallerGoneBehindInput.

--- a/io/callers/cvhttpserver/connection.go
+++ b/io/callers/cvhttpserver/connection.go
@@ -22,6 +22,8 @@
 	// write side is closed. Closing a connection with unread input sends a reset, and the caller may then lose the
 	// response.
 	lingerTimeout = 500 * time.Millisecond
+	// maxDiscarded limits what is read behind the last request of a connection.
+	maxDiscarded = 1 << 20
 	// bodyTimeout limits the time to receive a request with its body. It is longer than any deadline of the callers.
 	bodyTimeout = 10 * time.Second
 	// writeTimeout keeps a caller that reads nothing from holding the response's memory forever.
@@ -43,6 +45,8 @@
 	// closing is true once no further request is accepted.
 	closing   bool
 	idleSince time.Time
+	// lingers is true once the write side is closed after the last response. Only writeLoop sets it.
+	lingers bool
 }
 
 type exchange struct {
@@ -78,6 +82,9 @@
 	c.readLoop(ctx, cancel)
 	close(c.queue)
 	<-finished
+	if c.lingers {
+		c.discardInput(c.conn)
+	}
 	c.conn.Close()
 }
 
@@ -107,7 +114,7 @@
 			e.last = true
 			close(e.done)
 			c.queue <- e
-			c.discardInput()
+			c.discardInput(c.reader)
 			return
 		}
 		e.last = request.Close
@@ -126,21 +133,24 @@
 	}
 }
 
-// watchDisconnect cancels the context if the caller disconnects before the last response.
+// watchDisconnect cancels the context if the caller disconnects before the last response. It discards what the caller
+// has sent behind its last request.
 func (c *connection) watchDisconnect(cancel context.CancelFunc) {
 	c.conn.SetReadDeadline(time.Time{})
 	go func() {
-		if _, err := c.reader.Peek(1); err != nil && !errors.Is(err, net.ErrClosed) {
+		_, err := io.CopyN(io.Discard, c.reader, maxDiscarded)
+		if err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded) {
 			cancel()
 		}
 	}()
 }
 
-// discardInput discards input for lingerTimeout, because the rest of a rejected request may still arrive.
-func (c *connection) discardInput() {
+// discardInput discards input for lingerTimeout, because the rest of a rejected request or pipelined ones may still
+// arrive.
+func (c *connection) discardInput(input io.Reader) {
 	c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 	// The connection is closed whether or not reading fails.
-	_, _ = io.Copy(io.Discard, c.reader)
+	_, _ = io.Copy(io.Discard, input)
 }
 
 // ErrCallerDisconnected is the cause of a context that was cancelled because the caller closed its connection.
@@ -301,18 +311,15 @@
 	return !last
 }
 
-// linger closes the write side, and the connection after lingerTimeout, so that the caller can close it first. It ends
-// early if serve returns.
+// linger closes the write side, so that the caller can close the connection first. The connection stays open until
+// then, but at most for lingerTimeout.
 func (c *connection) linger() {
 	closer, ok := c.conn.(interface{ CloseWrite() error })
 	if !ok || closer.CloseWrite() != nil {
 		return
 	}
+	c.lingers = true
 	c.stopReading()
-	go func() {
-		time.Sleep(lingerTimeout)
-		c.conn.Close()
-	}()
 }
 
 func bodyAllowed(e *exchange) bool {
