Bound what an upstream can send without end

Change: a head of 64 KiB, four interim responses, and a quarter of the VM's memory for all bodies that are being received; beyond, the exchange ends as uncertain and its connection is closed.

--- a/io/balancers/cvnode/cvnode.go
+++ b/io/balancers/cvnode/cvnode.go
@@ -47,6 +47,8 @@
 	// megabyte is the unit in which the settings give the VM's memory.
 	megabyte         = 1 << 20
 	maxResponseBytes = 64 << 20
+	// All response bodies that are being received together may use the VM's memory divided by responseMemoryDivisor.
+	responseMemoryDivisor = 4
 )
 
 type fault struct{ cvfault.Fault }
@@ -153,7 +155,7 @@
 	n.crashes = make(map[crash]time.Time)
 	n.splitCredits = make(map[string]map[string]float64)
 	n.metrics = cvnodemetrics.New()
-	n.pool = &cvpool.Pool{HeaderNames: n.HeaderNames, MaxResponseBytes: maxResponseBytes, OnOpen: func(string) { n.metrics.ConnectionOpened() }, OnDrop: n.responseDropped}
+	n.pool = &cvpool.Pool{HeaderNames: n.HeaderNames, MaxResponseBytes: maxResponseBytes, ResponseMemory: int64(n.Settings.MemoryMB()) * megabyte / responseMemoryDivisor, OnOpen: func(string) { n.metrics.ConnectionOpened() }, OnDrop: n.responseDropped}
 	n.news = n.newNews()
 	n.routesWatch, n.upstreamsWatch = n.newWatches()
 	n.relay = &cvrelay.Relay{Snapshot: n.snapshot, Records: n.records}
--- a/io/upstreams/cvpool/connection.go
+++ b/io/upstreams/cvpool/connection.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -20,10 +21,30 @@
 
 const (
 	readBufferSize = 8 << 10
-	// maxStaleResponses is how many responses to other requests are discarded before a connection counts as broken.
+	// maxStaleResponses is how many responses to other requests, and interim responses, are discarded before a connection
+	// counts as broken.
 	maxStaleResponses = 4
+	// maxHeadBytes limits the head of a response. An upstream in trouble may send bytes without end.
+	maxHeadBytes = 64 << 10
+	// bodyChunk is how much memory for a body is reserved at a time.
+	bodyChunk = 32 << 10
 )
 
+// headLimiter fails reads of a connection beyond a number of bytes while the head of a response is read.
+type headLimiter struct {
+	net.Conn
+	remaining int64
+}
+
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if l.remaining <= 0 {
+		return 0, errors.Errorf("the head of a response is longer than %d bytes", maxHeadBytes)
+	}
+	n, err := l.Conn.Read(p[:min(int64(len(p)), l.remaining)])
+	l.remaining -= int64(n)
+	return n, err
+}
+
 type exchange struct {
 	request *cvrequest.Request
 	// done is closed when answer or err is set.
@@ -46,6 +67,7 @@
 	pool     *Pool
 	instance string
 	conn     net.Conn
+	limiter  *headLimiter
 	reader   *bufio.Reader
 
 	mu      sync.Mutex
@@ -58,8 +80,9 @@
 }
 
 func newConnection(pool *Pool, instance string, conn net.Conn) *connection {
+	limiter := &headLimiter{Conn: conn}
 	return &connection{
-		pool: pool, instance: instance, conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize),
+		pool: pool, instance: instance, conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize),
 		idleSince: time.Now(), idleTimeout: defaultIdleTimeout,
 	}
 }
@@ -116,6 +139,7 @@
 func (c *connection) readResponses() {
 	defer c.close()
 	for {
+		c.limiter.remaining = maxHeadBytes
 		_, err := c.reader.Peek(1)
 		c.mu.Lock()
 		e := c.current
@@ -143,16 +167,18 @@
 		c.finish(e, comfreyvale.Answer{}, fail("exchange", comfreyvale.KindUncertain, errors.Wrap(err, "the response cannot be parsed")))
 		return false
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, c.pool.MaxResponseBytes+1))
+	c.limiter.remaining = math.MaxInt64
+	body, err := c.readBody(response.Body)
 	if err != nil {
-		c.finish(e, comfreyvale.Answer{}, fail("exchange", comfreyvale.KindUncertain, errors.Wrap(err, "the response body is incomplete")))
-		return false
-	}
-	if int64(len(body)) > c.pool.MaxResponseBytes {
-		c.finish(e, comfreyvale.Answer{}, fail("exchange", comfreyvale.KindUncertain, errors.New("the response body is too long")))
+		c.finish(e, comfreyvale.Answer{}, fail("exchange", comfreyvale.KindUncertain, errors.Wrap(err, "the response body cannot be read")))
 		return false
 	}
 	if response.StatusCode < http.StatusOK {
+		e.staleResponses++
+		if e.staleResponses > maxStaleResponses {
+			c.finish(e, comfreyvale.Answer{}, fail("exchange", comfreyvale.KindUncertain, errors.New("received only interim responses")))
+			return false
+		}
 		return true
 	}
 	if !c.matches(e, response) {
@@ -169,6 +195,28 @@
 	return c.deliver(e, answer, closesConnection(response))
 }
 
+// readBody returns a complete body. It fails if the body, or all bodies that are being received together, are too long.
+func (c *connection) readBody(from io.Reader) ([]byte, error) {
+	reserved := int64(0)
+	defer func() { c.pool.receiving.Add(-reserved) }()
+	var body bytes.Buffer
+	for {
+		if reserved += bodyChunk; c.pool.receiving.Add(bodyChunk) > c.pool.ResponseMemory {
+			return nil, errors.Errorf("the responses that are being received are longer than %d bytes", c.pool.ResponseMemory)
+		}
+		n, err := io.CopyN(&body, from, bodyChunk)
+		if int64(body.Len()) > c.pool.MaxResponseBytes {
+			return nil, errors.Errorf("the body is longer than %d bytes", c.pool.MaxResponseBytes)
+		}
+		if errors.Is(err, io.EOF) && n < bodyChunk {
+			return body.Bytes(), nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 // matches reports whether a response carries the request's ID. The ID may be missing if the response states that the
 // request did not run, by the NotRun header or status 421.
 func (c *connection) matches(e *exchange, response *http.Response) bool {
--- a/io/upstreams/cvpool/cvpool.go
+++ b/io/upstreams/cvpool/cvpool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -44,6 +45,8 @@
 type Pool struct {
 	HeaderNames      cvheadernames.Names
 	MaxResponseBytes int64
+	// ResponseMemory limits the bodies of all responses that are being received together, in bytes.
+	ResponseMemory int64
 	// OnOpen is called for each new connection.
 	OnOpen func(instance string)
 	// OnDrop is called when received data is discarded because it does not belong to the current request. The request
@@ -52,6 +55,8 @@
 
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
+	// receiving is the size of the bodies that are being received.
+	receiving atomic.Int64
 }
 
 // endpoint holds the connections to one instance.
--- a/io/upstreams/cvpool/cvpool_test.go
+++ b/io/upstreams/cvpool/cvpool_test.go
@@ -24,7 +24,7 @@
 var headerNames = cvheadernames.Names{RequestID: "Test-Id", Deadline: "Test-Deadline", Instance: "Test-Instance", NotRun: "Test-Not-Run", Load: "Test-Load", Signature: "Test-Signature"}
 
 func newPool() *cvpool.Pool {
-	return &cvpool.Pool{HeaderNames: headerNames, MaxResponseBytes: 1 << 20, OnOpen: func(string) {}, OnDrop: func(string, string, string) {}}
+	return &cvpool.Pool{HeaderNames: headerNames, MaxResponseBytes: 1 << 20, ResponseMemory: 8 << 20, OnOpen: func(string) {}, OnDrop: func(string, string, string) {}}
 }
 
 func startUpstream(t *testing.T) (*cvfaulty.Upstream, *cvinstance.Instance) {
