--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"comfreyvale/io/operators/cvadminclient"
@@ -230,18 +231,28 @@
 	}, readyTimeout, 20*time.Millisecond, url)
 }
 
-// awaitMembers waits until every balancer's roster has count members and the balancer is linked to all others.
+// awaitMembers waits until every balancer's roster has count members and the balancer is linked to all others. If that
+// fails, it logs what each balancer reported last.
 func (c *cluster) awaitMembers(count int) {
 	operator := &cvadminclient.Client{}
-	require.Eventually(c.t, func() bool {
+	var mu sync.Mutex
+	reports := make([]string, c.numBalancers())
+	met := assert.Eventually(c.t, func() bool {
+		complete := true
 		for i := range c.numBalancers() {
 			s, err := operator.Status(context.Background(), c.admin(i))
-			if err != nil || len(s.Members) != count || len(s.Linked) != count-1 {
-				return false
-			}
+			mu.Lock()
+			reports[i] = fmt.Sprintf("%s: error %v, members %v, linked %v", balancerName(i), err, s.Members, s.Linked)
+			mu.Unlock()
+			complete = complete && err == nil && len(s.Members) == count && len(s.Linked) == count-1
 		}
-		return true
+		return complete
 	}, 2*readyTimeout, 50*time.Millisecond, "want %d members at every balancer, all linked", count)
+	if !met {
+		mu.Lock()
+		defer mu.Unlock()
+		c.t.Fatalf("the balancers reported:\n%s", strings.Join(reports, "\n"))
+	}
 }
 
 func (c *cluster) process(name string) *exec.Cmd {
