--- a/core/cvconfiguration/cvconfiguration.go
+++ b/core/cvconfiguration/cvconfiguration.go
@@ -53,11 +53,14 @@
 
 // Overlap returns two services with the same host and path prefix, or false if there are none.
 func (c *Configuration) Overlap() (a, b *cvservice.Service, found bool) {
-	for i := 1; i < len(c.services); i++ {
-		a, b = c.services[i-1], c.services[i]
-		if a.Host() == b.Host() && a.PathPrefix() == b.PathPrefix() {
-			return a, b, true
+	type match struct{ host, prefix string }
+	first := make(map[match]*cvservice.Service, len(c.services))
+	for _, s := range c.services {
+		m := match{s.Host(), s.PathPrefix()}
+		if first[m] != nil {
+			return first[m], s, true
 		}
+		first[m] = s
 	}
 	return nil, nil, false
 }
