--- a/core/cvpicker/cvpicker.go
+++ b/core/cvpicker/cvpicker.go
@@ -72,6 +72,7 @@
 		p.byName[v.Name()] = u
 		p.upstreams = append(p.upstreams, u)
 	}
+	p.ejectedCount = len(p.Ejected())
 	p.started = p.started || len(vms) > 0
 }
 
--- a/core/cvpicker/cvpicker_test.go
+++ b/core/cvpicker/cvpicker_test.go
@@ -127,3 +127,26 @@
 	_, ok := p.Pick(now.Add(time.Minute), 1, nil)
 	require.False(t, ok)
 }
+
+// TestRemovedWhileEjected guards against counting ejected upstreams that were removed, which would leave no room for
+// other ejections.
+func TestRemovedWhileEjected(t *testing.T) {
+	p := picker()
+	now := time.Unix(1000, 0)
+	all := vms(12)
+	p.Update(now, all[:6], 4)
+	for _, v := range all[:3] {
+		for range 3 {
+			end(p, now, v.Name(), comfreyvale.ResultFailed, 0)
+		}
+	}
+	require.Len(t, p.Ejected(), 3)
+	p.Update(now, all[6:], 4)
+	require.Empty(t, p.Ejected())
+	for _, v := range all[6:9] {
+		for range 3 {
+			end(p, now, v.Name(), comfreyvale.ResultFailed, 0)
+		}
+	}
+	require.Len(t, p.Ejected(), 3)
+}
