Keep the holder of a moved answer when homes change

A later home reads the journals of departed homes first, which name the first holder, and then ignored the living homes' copies of the same grants, which name the present one. A resent order asked a process that was gone and got 502 claimHolderGone. Change: a claim counts the moves of its answer; the copy with the most names the holder. TestMovedAnswer: any order of imports.

--- a/core/cvhome/cvhome.go
+++ b/core/cvhome/cvhome.go
@@ -31,9 +31,11 @@
 
 // claim is a grant of a key, or a request for one that the journal does not hold yet.
 type claim struct {
-	key      string
-	grant    string
-	holder   string
+	key    string
+	grant  string
+	holder string
+	// moves counts how often another process became the holder.
+	moves    uint32
 	digest   []byte
 	at       time.Time
 	window   time.Duration
@@ -137,7 +139,7 @@
 func (c *claim) message() *cvwire.Claim {
 	return &cvwire.Claim{
 		Key: c.key, Grant: c.grant, Holder: c.holder, Digest: c.digest,
-		AtUnixMs: c.at.UnixMilli(), WindowMs: c.window.Milliseconds(), Released: c.released,
+		AtUnixMs: c.at.UnixMilli(), WindowMs: c.window.Milliseconds(), Released: c.released, Moves: c.moves,
 	}
 }
 
@@ -152,6 +154,9 @@
 	h.queue = append(h.queue, c.message())
 }
 
+// Holds reports whether a grant is known.
+func (h *Home) Holds(grant string) bool { return h.grants[grant] != nil }
+
 // Reassign sets the process that now holds the answer to a grant's request. It returns false for an unknown grant.
 func (h *Home) Reassign(grant, holder string) bool {
 	c := h.grants[grant]
@@ -159,6 +164,7 @@
 		return false
 	}
 	c.holder = holder
+	c.moves++
 	return true
 }
 
@@ -226,7 +232,9 @@
 	return c != nil && !c.granted && !c.released && !h.sealed
 }
 
-// Import adds the claims of an earlier home as granted. A grant is released if any home has released it.
+// Import adds the claims of an earlier home as granted. A grant is released if any home has released it. Its holder is
+// that of the claim with the most moves: a departed home's journal does not hold moves, and another member's copy may
+// be older.
 func (h *Home) Import(now time.Time, claims []*cvwire.Claim) {
 	h.init()
 	for _, m := range claims {
@@ -237,6 +245,9 @@
 func (h *Home) importClaim(now time.Time, m *cvwire.Claim) {
 	if known := h.grants[m.GetGrant()]; known != nil {
 		known.released = known.released || m.GetReleased()
+		if m.GetMoves() > known.moves {
+			known.holder, known.moves = m.GetHolder(), m.GetMoves()
+		}
 		return
 	}
 	at := time.UnixMilli(m.GetAtUnixMs())
@@ -244,7 +255,7 @@
 		at = now
 	}
 	c := &claim{
-		key: m.GetKey(), grant: m.GetGrant(), holder: m.GetHolder(), digest: m.GetDigest(),
+		key: m.GetKey(), grant: m.GetGrant(), holder: m.GetHolder(), moves: m.GetMoves(), digest: m.GetDigest(),
 		at: at, window: time.Duration(m.GetWindowMs()) * time.Millisecond, released: m.GetReleased(), granted: true,
 	}
 	held := h.claims[c.key]
--- /dev/null
+++ b/core/cvhome/cvhome_test.go
@@ -0,0 +1,57 @@
+package cvhome_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"comfreyvale/core/cvhome"
+	"comfreyvale/core/cvwire"
+)
+
+func allKeys(string) bool { return true }
+
+// TestMovedAnswer guards against a home that asks a process for an answer that has moved to another: whatever the order
+// in which it imports the journal of the first home and the copies of others, the last holder counts.
+func TestMovedAnswer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	request := func(grant string) *cvwire.ClaimRequest {
+		return &cvwire.ClaimRequest{Key: "k", Grant: grant, Holder: "holder of " + grant, Digest: []byte{1}, WindowMs: 60_000}
+	}
+	first := &cvhome.Home{Incarnation: "first"}
+	require.Nil(t, first.Claim(now, request("g"), false))
+	journal := first.NextRecord().GetClaims()
+	require.Equal(t, []string{"g"}, first.Commit())
+	second := &cvhome.Home{Incarnation: "second"}
+	second.Import(now, journal)
+	require.True(t, second.Reassign("g", "second's process"))
+	once := second.Handover(now, allKeys)
+	third := &cvhome.Home{Incarnation: "third"}
+	third.Import(now, once)
+	require.True(t, third.Reassign("g", "third's process"))
+	twice := third.Handover(now, allKeys)
+	cases := map[string]struct {
+		imports [][]*cvwire.Claim
+		holder  string
+	}{
+		"journal alone":            {[][]*cvwire.Claim{journal}, "holder of g"},
+		"journal, moved":           {[][]*cvwire.Claim{journal, once}, "second's process"},
+		"moved, journal":           {[][]*cvwire.Claim{once, journal}, "second's process"},
+		"journal, moved twice":     {[][]*cvwire.Claim{journal, once, twice}, "third's process"},
+		"moved twice, older copy":  {[][]*cvwire.Claim{twice, once, journal}, "third's process"},
+		"the same copy once again": {[][]*cvwire.Claim{twice, twice}, "third's process"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := &cvhome.Home{Incarnation: "new"}
+			for _, claims := range c.imports {
+				h.Import(now, claims)
+			}
+			reply := h.Claim(now, request("later"), false)
+			require.Equal(t, cvwire.ClaimReply_HELD, reply.GetVerdict())
+			require.Equal(t, c.holder, reply.GetHolder())
+			require.Equal(t, "g", reply.GetGrant())
+		})
+	}
+}
--- a/io/balancers/cvbalancer/cluster.go
+++ b/io/balancers/cvbalancer/cluster.go
@@ -218,14 +218,16 @@
 	b.Logger.WithFields(log.Fields{"incarnation": b.membership.Incarnation()}).Info("left the roster")
 }
 
-// adoptAnswer stores a response handed over by a process that shuts down, if this balancer is the key's home and knows
-// the grant. Without room for it, the response is lost, but the key stays claimed.
+// adoptAnswer stores a response handed over by a process that shuts down, if this balancer is the key's home, knows the
+// grant and has room for the response. Otherwise the sender stays the holder.
 func (b *Balancer) adoptAnswer(request *cvwire.SettleRequest) *cvwire.SettleReply {
-	if !b.homes.Reassign(request.GetGrant()) {
+	if !b.homes.Holds(request.GetGrant()) {
 		return &cvwire.SettleReply{}
 	}
-	b.claims.Adopt(time.Now(), request)
-	return &cvwire.SettleReply{Accepted: true}
+	if !b.claims.Adopt(time.Now(), request) {
+		return &cvwire.SettleReply{NoRoom: true}
+	}
+	return &cvwire.SettleReply{Accepted: b.homes.Reassign(request.GetGrant())}
 }
 
 // handOver sends the stored responses to the homes of their keys, for requests repeated after this process has stopped.
--- a/io/peers/cvclaims/cvclaims.go
+++ b/io/peers/cvclaims/cvclaims.go
@@ -300,7 +300,7 @@
 }
 
 // HandOver passes all stored answers to send at shutdown and returns how many were accepted. It stops early if the
-// context ends or a grant has expired.
+// context ends.
 func (c *Claims) HandOver(ctx context.Context, send func(context.Context, *cvwire.SettleRequest) bool) int {
 	c.mu.Lock()
 	grants := c.holder.AnsweredGrants()
@@ -311,9 +311,13 @@
 		key, known := c.holder.KeyOf(grant)
 		_, answer := c.holder.GrantState(grant)
 		c.mu.Unlock()
-		if ctx.Err() != nil || !known {
+		if ctx.Err() != nil {
 			break
 		}
+		if !known {
+			// The grant has expired meanwhile.
+			continue
+		}
 		request := &cvwire.SettleRequest{
 			Key: key.Text(), Grant: grant, Digest: key.Digest(), WindowMs: key.Window().Milliseconds(), Answer: answerReply(answer),
 		}
@@ -324,13 +328,16 @@
 	return accepted
 }
 
-// Adopt stores an answer of a process that is shutting down. It returns false if the budget has no room or this process
-// already stores the key.
+// Adopt stores an answer of a process that is shutting down, and reports whether this process stores it. It returns
+// false if the budget has no room.
 func (c *Claims) Adopt(now time.Time, request *cvwire.SettleRequest) bool {
 	key := comfreyvale.NewKey(request.GetKey(), request.GetDigest(), time.Duration(request.GetWindowMs())*time.Millisecond)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.init()
+	if state, _ := c.holder.GrantState(request.GetGrant()); state == cvholder.Answered {
+		return true
+	}
 	return c.holder.Adopt(now, key, request.GetGrant(), answerOf(request.GetAnswer()))
 }
 
--- a/io/peers/cvhomes/cvhomes.go
+++ b/io/peers/cvhomes/cvhomes.go
@@ -285,7 +285,7 @@
 }
 
 // SendAnswer sends a stored answer to the key's home at shutdown and reports whether the home accepted it. It retries
-// until the context ends or no balancer is left.
+// until the context ends, the home has no room or no balancer is left.
 func (h *Homes) SendAnswer(ctx context.Context, request *cvwire.SettleRequest) bool {
 	message := &cvwire.PeerRequest{Request: &cvwire.PeerRequest_Settle{Settle: request}}
 	for ctx.Err() == nil {
@@ -298,12 +298,23 @@
 			if err == nil && reply.GetSettle().GetAccepted() {
 				return true
 			}
+			if err == nil && reply.GetSettle().GetNoRoom() {
+				return false
+			}
 		}
 		cvpause.For(ctx, retryDelay)
 	}
 	return false
 }
 
+// Holds reports whether this home knows a grant.
+func (h *Homes) Holds(grant string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.init()
+	return h.home.Holds(grant)
+}
+
 // Reassign makes this process the holder of a grant's answer. It returns false if this home does not know the grant.
 func (h *Homes) Reassign(grant string) bool {
 	h.mu.Lock()
