--- a/core/cvsealed/cvsealed.go
+++ b/core/cvsealed/cvsealed.go
@@ -9,9 +9,11 @@
 
 // Journal collects the records of a journal up to its seal. It is not safe for concurrent use.
 type Journal struct {
-	claims        []*cvwire.Claim
-	sealed        bool
-	truncated     bool
+	claims    []*cvwire.Claim
+	sealed    bool
+	truncated bool
+	// firstClaimAt is the time of the first claim that is not the release of an earlier one, whose time says nothing about
+	// the claims before it.
 	firstClaimAt  time.Time
 	longestWindow time.Duration
 }
@@ -47,8 +49,18 @@
 	}
 	j.claims = append(j.claims, record.GetClaims()...)
 	j.longestWindow = max(j.longestWindow, time.Duration(record.GetLongestWindowMs())*time.Millisecond)
-	if j.firstClaimAt.IsZero() && len(record.GetClaims()) > 0 {
-		j.firstClaimAt = time.UnixMilli(record.GetClaims()[0].GetAtUnixMs())
+	if j.firstClaimAt.IsZero() {
+		j.firstClaimAt = firstTime(record.GetClaims())
 	}
 	return false
 }
+
+// firstTime returns the time of the first claim that is not a release, or the zero time.
+func firstTime(claims []*cvwire.Claim) time.Time {
+	for _, c := range claims {
+		if !c.GetReleased() {
+			return time.UnixMilli(c.GetAtUnixMs())
+		}
+	}
+	return time.Time{}
+}
--- a/io/load/cvreport/cvreport.go
+++ b/io/load/cvreport/cvreport.go
@@ -151,12 +151,20 @@
 	P999Ms  float64        `json:"p999Ms"`
 }
 
+// results returns the number of calls of a kind by result.
+func (r *Report) results(name string) map[string]int {
+	if k := r.kinds[name]; k != nil {
+		return k.results
+	}
+	return map[string]int{}
+}
+
 // WriteJSON writes the report as JSON.
 func (r *Report) WriteJSON(out io.Writer) error {
 	var rows []row
 	for _, n := range r.Kinds() {
 		toMs := func(share float64) float64 { return float64(r.Quantile(n, share)) / float64(time.Millisecond) }
-		rows = append(rows, row{Kind: n, Calls: r.Calls(n), Results: r.kinds[n].results, P50Ms: toMs(0.5), P99Ms: toMs(0.99), P999Ms: toMs(0.999)})
+		rows = append(rows, row{Kind: n, Calls: r.Calls(n), Results: r.results(n), P50Ms: toMs(0.5), P99Ms: toMs(0.99), P999Ms: toMs(0.999)})
 	}
 	return json.NewEncoder(out).Encode(map[string]any{"kinds": rows, "causes": r.causes})
 }
--- a/io/store/cvjournal/cvjournal.go
+++ b/io/store/cvjournal/cvjournal.go
@@ -88,6 +88,9 @@
 			}
 		}
 		if j.nextOffset >= batch.StreamNext() {
+			if appendErr == nil {
+				appendErr = errors.New("the log accepted the record, but does not return it")
+			}
 			return false, fail("append", comfreyvale.KindUncertain, errors.Wrap(appendErr, "the journal does not hold the record"))
 		}
 	}
