Start a request before its deadline even if its target time is later

Cause: a request that can be late but not later than its deadline waited for a quick upstream until its latest start, counted from the target time; with a deadline before that it was refused at its deadline while a slot was free.

--- a/core/cvadmission/simulation_test.go
+++ b/core/cvadmission/simulation_test.go
@@ -365,3 +365,23 @@
 		})
 	}
 }
+
+// TestDeadlineBeforeTarget guards against a request that waits for a quick upstream until its deadline has passed,
+// because its target time is later, while a slot is free.
+func TestDeadlineBeforeTarget(t *testing.T) {
+	selector := &cvselector.Selector{DataCentre: "dc"}
+	selector.Update(simStart, []*cvinstance.Instance{cvinstance.New("0", "g", "", "dc", simSlots)})
+	admission := &cvadmission.Admission{Selector: selector}
+	const deadline = 500 * time.Millisecond
+	selector.RecordPeerReport(simStart, "0", 0, 0, 0, simSlowness)
+	waiter := cvwaiter.New(simStart, cvrequirements.New(simStart.Add(time.Second), simStart.Add(deadline), 0, false).WithServiceTime(400*time.Millisecond))
+	require.Equal(t, cvadmission.Waiting, admission.Enter(simStart, 1, waiter))
+	for now := simStart; now.Before(simStart.Add(deadline)); now = now.Add(simTick) {
+		selector.RecordPeerReport(now, "0", 0, 0, 0, simSlowness)
+		require.Empty(t, admission.RemoveExpired(now))
+		if _, granted := admission.Next(now, 1); granted {
+			return
+		}
+	}
+	require.Fail(t, "no slot before the deadline")
+}
--- a/core/cvselector/cvselector.go
+++ b/core/cvselector/cvselector.go
@@ -213,10 +213,14 @@
 	return s.ServiceTime()
 }
 
-// LatestStart returns the latest time at which a request can get a slot and still be answered before its target time by
-// a machine of normal speed.
+// LatestStart returns the latest time at which a request can get a slot and still be answered before its target time,
+// and before its deadline, by a machine of normal speed.
 func (s *Selector) LatestStart(reqs cvrequirements.Requirements) time.Time {
-	return reqs.Target().Add(-s.serviceTimeOf(reqs))
+	end := reqs.Target()
+	if reqs.Deadline().Before(end) {
+		end = reqs.Deadline()
+	}
+	return end.Add(-s.serviceTimeOf(reqs))
 }
 
 // meanSlowness returns the average slowness of the machines, at least 1, which is normal speed.
