Tell other data centres the attempts of a data centre, not a load

Cause: digests told an estimated load. Change: a digest has the in-flight attempts of all balancers of its data centre on each upstream, as one count, and the last reports of its own upstreams; it is passed on as it is. Lists in other messages between data centres are ignored. Tests: TestDigest; TestMessagesBetweenDataCentres now also while balancers meet.

--- a/core/cvpeertable/cvpeertable.go
+++ b/core/cvpeertable/cvpeertable.go
@@ -124,6 +124,12 @@
 // remote reports whether a balancer is known to run in another data centre.
 func (t *Table) remote(p *peer) bool { return p.dataCentre != "" && p.dataCentre != t.DataCentre }
 
+// Near reports whether the balancer with an address is known to run in this data centre.
+func (t *Table) Near(address string) bool {
+	p := t.peers[address]
+	return p != nil && p.dataCentre == t.DataCentre
+}
+
 // Live returns the sorted addresses of the live balancers; near limits them to this data centre.
 func (t *Table) Live(now time.Time, near bool) []string {
 	var found []string
--- a/core/cvselector/cvselector_test.go
+++ b/core/cvselector/cvselector_test.go
@@ -215,3 +215,34 @@
 		})
 	}
 }
+
+// TestDigest checks what other data centres learn of an upstream: the attempts of this data centre's balancers only, and
+// reports only of upstreams here.
+func TestDigest(t *testing.T) {
+	s := selector(start, instance(0, "near", false), instance(1, "far", false))
+	s.RecordPeerInFlight(start, 1, "0", 2)
+	s.RecordPeerInFlight(start, 1, "1", 1)
+	s.RecordRemoteInFlight(start, 2, "0", 3)
+	s.RecordPeerReport(start, "0", 0, 5, 0, 4)
+	s.RecordPeerReport(start, "1", 0, 5, 0, 4)
+	later := start.Add(10 * time.Millisecond)
+	inFlight, age, load, slownessAge, slowness, known := s.DigestForPeers(later, "0")
+	require.True(t, known)
+	require.Equal(t, 2, inFlight)
+	require.Equal(t, 5, load)
+	require.InDelta(t, 4, slowness, 1e-9)
+	require.Equal(t, 10*time.Millisecond, age)
+	require.Equal(t, 10*time.Millisecond, slownessAge)
+	inFlight, age, _, slownessAge, _, known = s.DigestForPeers(later, "1")
+	require.True(t, known)
+	require.Equal(t, 1, inFlight)
+	require.Greater(t, age, time.Hour, "its own data centre reports it")
+	require.Greater(t, slownessAge, time.Hour)
+	_, _, _, _, _, known = s.DigestForPeers(later, "2")
+	require.False(t, known)
+	require.ElementsMatch(t, []string{"0", "1"}, s.Changed(later, 10*time.Millisecond, false))
+	require.Empty(t, s.Changed(later, 5*time.Millisecond, false))
+	require.ElementsMatch(t, []string{"0", "1"}, s.Changed(later, 5*time.Millisecond, true), "all in use")
+	s.RecordRemoteInFlight(later, 2, "0", 1)
+	require.Empty(t, s.Changed(later, 5*time.Millisecond, false), "other data centres tell their own changes")
+}
--- a/core/cvselector/reports.go
+++ b/core/cvselector/reports.go
@@ -31,7 +31,7 @@
 	if reported.Before(u.reportedAt) {
 		return
 	}
-	u.reportedAt, u.changedAt = reported, now
+	u.reportedAt, u.learnedAt = reported, now
 	u.reportedLoad = max(load, 0)
 	u.updateUnattributed(now)
 }
@@ -41,7 +41,7 @@
 	if slowness <= 0 || reported.Before(u.slownessAt) {
 		return
 	}
-	u.slownessAt, u.changedAt = reported, now
+	u.slownessAt, u.learnedAt = reported, now
 	u.slowness = slowness
 }
 
@@ -51,13 +51,24 @@
 	if u == nil {
 		return
 	}
+	if u.peerCounts[peer].count != inFlight {
+		u.countsChangedAt = now
+	}
+	u.setPeerCount(peer, peerCount{count: inFlight, at: now})
+}
+
+// RecordRemoteInFlight records the number of in-flight attempts on an upstream by all balancers of another data centre.
+func (s *Selector) RecordRemoteInFlight(now time.Time, dataCentre uint64, id string, inFlight int) {
+	if u := s.byID[id]; u != nil {
+		u.setPeerCount(dataCentre, peerCount{count: inFlight, at: now, remote: true})
+	}
+}
+
+func (u *upstream) setPeerCount(peer uint64, count peerCount) {
 	if u.peerCounts == nil {
 		u.peerCounts = make(map[uint64]peerCount)
 	}
-	if u.peerCounts[peer].count != inFlight {
-		u.changedAt = now
-	}
-	u.peerCounts[peer] = peerCount{count: inFlight, at: now}
+	u.peerCounts[peer] = count
 }
 
 // RecordPeerReport records a load and a slowness that a peer has learned, with their ages.
@@ -88,14 +99,31 @@
 	return len(u.attempts), now.Sub(u.reportedAt), u.reportedLoad, now.Sub(u.slownessAt), u.slowness, true
 }
 
-// Changes calls report with the in-flight requests of all balancers and the slowness of each upstream of this data
-// centre of which this balancer has learned something within the given time. The other data centres get these.
-func (s *Selector) Changes(now time.Time, within time.Duration, report func(id string, load int, slownessAge time.Duration, slowness float64)) {
+// DigestForPeers returns what other data centres must know of an upstream: the in-flight attempts of this data centre's
+// balancers and, of an upstream in this data centre, the last reported load and slowness with their ages. Those of other
+// upstreams have the age math.MaxInt64.
+func (s *Selector) DigestForPeers(now time.Time, id string) (inFlight int, age time.Duration, load int, slownessAge time.Duration, slowness float64, known bool) {
+	u := s.byID[id]
+	if u == nil {
+		return 0, 0, 0, 0, 0, false
+	}
+	if !s.near(u) {
+		return u.localInFlight(now), math.MaxInt64, 0, math.MaxInt64, 0, true
+	}
+	return u.localInFlight(now), now.Sub(u.reportedAt), u.reportedLoad, now.Sub(u.slownessAt), u.slowness, true
+}
+
+// Changed returns the IDs of the upstreams of which other data centres must learn: those on which the attempts of this
+// data centre's balancers have changed within the given time, and those of this data centre of which a load or a
+// slowness was learned within that time. If inUse is set, also those with attempts in flight.
+func (s *Selector) Changed(now time.Time, within time.Duration, inUse bool) []string {
+	var found []string
 	for _, u := range s.upstreams {
-		if s.near(u) && now.Sub(u.changedAt) <= within {
-			report(u.instance.ID(), int(math.Round(s.load(now, u))), now.Sub(u.slownessAt), u.slowness)
+		if now.Sub(u.countsChangedAt) <= within || s.near(u) && now.Sub(u.learnedAt) <= within || inUse && u.localInFlight(now) > 0 {
+			found = append(found, u.instance.ID())
 		}
 	}
+	return found
 }
 
 // UpstreamsToProbe returns the upstreams in this data centre that are not draining and whose last report and last probe
--- a/core/cvselector/upstream.go
+++ b/core/cvselector/upstream.go
@@ -24,9 +24,11 @@
 	// slowness is the last reported slowness, 0 before the first report.
 	slowness   float64
 	slownessAt time.Time
-	// changedAt is when this balancer last learned of a change of the load or the slowness.
-	changedAt time.Time
-	warmUntil time.Time
+	// countsChangedAt is when the attempts of this data centre's balancers last changed, and learnedAt when a load or a
+	// slowness was last learned, as far as this balancer knows.
+	countsChangedAt time.Time
+	learnedAt       time.Time
+	warmUntil       time.Time
 	// failureShare is the share of failures among recent attempts, as of failureShareAt.
 	failureShare   float64
 	failureShareAt time.Time
@@ -52,6 +54,19 @@
 type peerCount struct {
 	count int
 	at    time.Time
+	// remote reports whether the count is that of another data centre's balancers.
+	remote bool
+}
+
+// localInFlight returns the in-flight attempts of this data centre's balancers.
+func (u *upstream) localInFlight(now time.Time) int {
+	total := len(u.attempts)
+	for _, c := range u.peerCounts {
+		if !c.remote && now.Sub(c.at) < peerCountMaxAge {
+			total += c.count
+		}
+	}
+	return total
 }
 
 func (u *upstream) peerInFlight(now time.Time) int {
@@ -70,11 +85,11 @@
 
 func (u *upstream) begin(now time.Time) {
 	u.attempts = append(u.attempts, now)
-	u.changedAt = now
+	u.countsChangedAt = now
 }
 
 func (u *upstream) end(now, began time.Time) {
-	u.changedAt = now
+	u.countsChangedAt = now
 	for n, b := range u.attempts {
 		if b.Equal(began) {
 			u.attempts = append(u.attempts[:n], u.attempts[n+1:]...)
--- a/io/balancers/cvnode/news.go
+++ b/io/balancers/cvnode/news.go
@@ -50,12 +50,11 @@
 	}
 }
 
-// fillDigest adds recent crash records and the load of the upstreams of this data centre to a message.
-func (n *Node) fillDigest(now time.Time, message *cvwire.News, within time.Duration) {
+// fillDigest adds recent crash records and what other data centres must know of the upstreams to a message.
+func (n *Node) fillDigest(now time.Time, message *cvwire.News, within time.Duration, inUse bool) {
 	n.addCrashes(now, message)
-	message.Digest = &cvwire.Digest{}
 	for _, s := range n.allSlots() {
-		s.FillDigest(now, message.Digest, within)
+		s.FillDigest(now, message, within, inUse)
 	}
 }
 
@@ -82,7 +81,6 @@
 			e.slots.RecordPeerState(now, message, index, e.id)
 		}
 	}
-	n.receiveDigest(now, message.GetDigest(), entries)
 	if message.GetWhole() {
 		for _, s := range n.allSlots() {
 			s.DropStalePeerCounts(now, message.GetProcess())
@@ -97,19 +95,6 @@
 	}
 }
 
-func (n *Node) receiveDigest(now time.Time, digest *cvwire.Digest, entries map[uint32]upstreamEntry) {
-	count := len(digest.GetUpstreams())
-	if len(digest.GetLoad()) != count || len(digest.GetSlowness()) != count || len(digest.GetSlownessAgeMs()) != count {
-		n.Logger.WithField("upstreams", count).Warn("ignored a digest whose lists differ in length")
-		return
-	}
-	for index, hash := range digest.GetUpstreams() {
-		if e, ok := entries[hash]; ok {
-			e.slots.RecordDigest(now, digest, index, e.id)
-		}
-	}
-}
-
 func (n *Node) indexUpstreams(byGroup map[string][]*cvinstance.Instance) {
 	entries := make(map[uint32]upstreamEntry)
 	for group, instances := range byGroup {
--- a/io/peers/cvnews/cvnews.go
+++ b/io/peers/cvnews/cvnews.go
@@ -73,8 +73,9 @@
 	// FillUpstreams adds the state of the upstreams that has changed since the last message; of those in use it adds all
 	// if whole is set.
 	FillUpstreams func(now time.Time, message *cvwire.News, whole bool)
-	// FillDigest adds the load of the upstreams of this data centre that has changed within the given time.
-	FillDigest func(now time.Time, message *cvwire.News, within time.Duration)
+	// FillDigest adds what other data centres must know of the upstreams, as far as it has changed within the given time;
+	// if inUse is set, also the state of those that this data centre's balancers use.
+	FillDigest func(now time.Time, message *cvwire.News, within time.Duration, inUse bool)
 	// OnMessage is called with each message that is not older than an earlier one from the same balancer.
 	OnMessage func(now time.Time, message *cvwire.News)
 	// OnSent is called with the purpose and the size of each datagram.
@@ -247,6 +248,7 @@
 	n.FillUpstreams(now, state, true)
 	n.sendWithPeers(now, purposeState, receivers, n.DataCentre, state, false)
 	n.sendWithPeers(now, purposeDiscovery, silent, n.DataCentre, state, true)
+	state.Upstreams, state.InFlight, state.AgeMs, state.Busy, state.Slowness, state.SlownessAgeMs = nil, nil, nil, nil, nil, nil
 	for dataCentre, targets := range replies {
 		n.sendWithPeers(now, purposeDiscovery, targets, dataCentre, state, false)
 	}
@@ -364,15 +366,20 @@
 	}
 	if fresh && len(message.GetMembers()) > 0 {
 		n.peers.RecordMembers(now, message.GetMembersDataCentre(), message.GetMembers())
-		if !message.GetRelayed() {
-			receivers = n.peers.Live(now, true)
-		}
 	}
-	n.mu.Unlock()
-	if len(receivers) > 0 {
-		n.send(purposeRelay, receivers, &cvwire.News{Members: message.GetMembers(), MembersDataCentre: message.GetMembersDataCentre(), Relayed: true})
+	if fresh && message.GetDigestOf() == "" && !n.peers.Near(from) {
+		// The digest of the sender's data centre contains its attempts, which must not count twice.
+		message.Upstreams, message.InFlight, message.AgeMs, message.Busy, message.Slowness, message.SlownessAgeMs = nil, nil, nil, nil, nil, nil
+	}
+	if fresh && !message.GetRelayed() && (len(message.GetMembers()) > 0 || message.GetDigestOf() != "") {
+		receivers = n.peers.Live(now, true)
 	}
+	n.mu.Unlock()
 	if fresh {
 		n.OnMessage(now, message)
 	}
+	if len(receivers) > 0 {
+		message.Relayed = true
+		n.send(purposeRelay, receivers, message)
+	}
 }
--- a/io/peers/cvnews/cvnews_test.go
+++ b/io/peers/cvnews/cvnews_test.go
@@ -44,8 +44,9 @@
 	message.InFlight = []uint32{b.number}
 }
 
-func (b *balancer) fillDigest(_ time.Time, message *cvwire.News, _ time.Duration) {
-	message.Digest = &cvwire.Digest{Upstreams: []uint32{b.number}, Load: []uint32{b.number}, Slowness: []uint32{0}, SlownessAgeMs: []uint32{0}}
+func (b *balancer) fillDigest(_ time.Time, message *cvwire.News, _ time.Duration, _ bool) {
+	one := []uint32{b.number}
+	message.Upstreams, message.InFlight, message.AgeMs, message.Busy, message.Slowness, message.SlownessAgeMs = one, one, one, one, one, one
 }
 
 func (b *balancer) receive(_ time.Time, message *cvwire.News) {
@@ -53,10 +54,9 @@
 	defer b.mu.Unlock()
 	for i, u := range message.GetUpstreams() {
 		b.received[u] = message.GetInFlight()[i]
-		b.local[u] = true
-	}
-	for i, u := range message.GetDigest().GetUpstreams() {
-		b.received[u] = message.GetDigest().GetLoad()[i]
+		if message.GetDigestOf() == "" {
+			b.local[u] = true
+		}
 	}
 }
 
@@ -126,8 +126,8 @@
 	}
 }
 
-// TestMessagesBetweenDataCentres guards against traffic between data centres that grows with the number of balancers:
-// once they know each other, changes stay within a data centre, and digests reach the others.
+// TestMessagesBetweenDataCentres guards against attempts that count twice, once in a message of their balancer and once
+// in the digest of its data centre: of another data centre, digests alone are passed on, also while balancers meet.
 func TestMessagesBetweenDataCentres(t *testing.T) {
 	const count = 12
 	all := start(t, count)
@@ -142,13 +142,6 @@
 	for _, b := range all {
 		require.Eventually(t, func() bool { return len(b.news.Live()) == count-1 }, 30*time.Second, 5*time.Millisecond)
 	}
-	// A balancer may have heard of another before it knew its data centre.
-	for _, b := range all {
-		b.mu.Lock()
-		clear(b.local)
-		clear(b.received)
-		b.mu.Unlock()
-	}
 	for _, b := range all {
 		for number := uint32(1); number <= count; number++ {
 			require.Eventually(t, func() bool { return number == b.number || b.hasReceived(number) }, 30*time.Second, 5*time.Millisecond)
--- a/io/peers/cvnews/digests.go
+++ b/io/peers/cvnews/digests.go
@@ -27,8 +27,9 @@
 		receivers = append(receivers, addresses[rand.IntN(len(addresses))])
 	}
 	// Slots start late if the timer fires late or the clocks of two balancers differ.
-	n.sendDigest(now, receivers, interval+max(interval/2, minInterval))
-	if startsMembersInterval(now, interval) {
+	whole := startsMembersInterval(now, interval)
+	n.sendDigest(now, receivers, interval+max(interval/2, minInterval), whole)
+	if whole {
 		n.sendMembers(now, receivers)
 	}
 }
@@ -39,20 +40,19 @@
 	return start%int64(membersInterval) < int64(slot)
 }
 
-func (n *News) sendDigest(now time.Time, receivers []string, within time.Duration) {
-	message := &cvwire.News{}
-	n.FillDigest(now, message, within)
-	digest := message.GetDigest()
-	if len(digest.GetUpstreams()) == 0 && len(message.GetSuspects()) == 0 {
+// sendDigest sends the changed states of upstreams, in use included if whole is set.
+func (n *News) sendDigest(now time.Time, receivers []string, within time.Duration, whole bool) {
+	all := &cvwire.News{}
+	n.FillDigest(now, all, within, whole)
+	if len(all.GetUpstreams()) == 0 && len(all.GetSuspects()) == 0 {
 		return
 	}
-	for from := 0; from < max(len(digest.GetUpstreams()), 1); from += maxDigestEntries {
-		to := min(from+maxDigestEntries, len(digest.GetUpstreams()))
-		part := &cvwire.Digest{
-			Upstreams: digest.GetUpstreams()[from:to], Load: digest.GetLoad()[from:to],
-			Slowness: digest.GetSlowness()[from:to], SlownessAgeMs: digest.GetSlownessAgeMs()[from:to],
-		}
-		n.send(purposeDigest, receivers, &cvwire.News{Digest: part, Suspects: message.GetSuspects()})
+	for from := 0; from < max(len(all.GetUpstreams()), 1); from += maxDigestEntries {
+		to := min(from+maxDigestEntries, len(all.GetUpstreams()))
+		n.send(purposeDigest, receivers, &cvwire.News{
+			DigestOf: n.DataCentre, Suspects: all.GetSuspects(), Upstreams: all.GetUpstreams()[from:to], InFlight: all.GetInFlight()[from:to],
+			AgeMs: all.GetAgeMs()[from:to], Busy: all.GetBusy()[from:to], Slowness: all.GetSlowness()[from:to], SlownessAgeMs: all.GetSlownessAgeMs()[from:to],
+		})
 	}
 }
 
--- a/io/upstreams/cvslots/news.go
+++ b/io/upstreams/cvslots/news.go
@@ -44,9 +44,12 @@
 // The caller holds the lock.
 func (s *Slots) addState(now time.Time, message *cvwire.News, id string) {
 	inFlight, age, busy, slownessAge, slowness, known := s.admission.Selector.StateForPeers(now, id)
-	if !known {
-		return
+	if known {
+		appendState(message, id, inFlight, age, busy, slownessAge, slowness)
 	}
+}
+
+func appendState(message *cvwire.News, id string, inFlight int, age time.Duration, busy int, slownessAge time.Duration, slowness float64) {
 	ageMs := uint32(0)
 	if age < maxReportAge {
 		ageMs = uint32(age.Milliseconds()) + 1
@@ -56,34 +59,21 @@
 	message.AgeMs = append(message.AgeMs, ageMs)
 	message.Busy = append(message.Busy, uint32(busy))
 	message.Slowness = append(message.Slowness, uint32(slowness*slownessScale))
-	message.SlownessAgeMs = append(message.SlownessAgeMs, milliseconds(slownessAge))
+	message.SlownessAgeMs = append(message.SlownessAgeMs, uint32(min(slownessAge, unknownReportAge).Milliseconds()))
 }
 
-// milliseconds returns a duration in milliseconds, at most unknownReportAge.
-func milliseconds(d time.Duration) uint32 { return uint32(min(d, unknownReportAge).Milliseconds()) }
-
-// FillDigest adds the load of the upstreams of this data centre that has changed within the given time.
-func (s *Slots) FillDigest(now time.Time, digest *cvwire.Digest, within time.Duration) {
+// FillDigest adds what other data centres must know: the upstream states that have changed within the given time and, if
+// inUse is set, those of all upstreams in use by this data centre's balancers.
+func (s *Slots) FillDigest(now time.Time, message *cvwire.News, within time.Duration, inUse bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.init()
-	s.admission.Selector.Changes(now, within, func(id string, load int, slownessAge time.Duration, slowness float64) {
-		digest.Upstreams = append(digest.Upstreams, Hash(id))
-		digest.Load = append(digest.Load, uint32(load))
-		digest.Slowness = append(digest.Slowness, uint32(slowness*slownessScale))
-		digest.SlownessAgeMs = append(digest.SlownessAgeMs, milliseconds(slownessAge))
-	})
-}
-
-// RecordDigest records the load of an upstream of another data centre, at an index of a digest, and passes it on to the
-// balancers of this data centre.
-func (s *Slots) RecordDigest(now time.Time, digest *cvwire.Digest, index int, id string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.init()
-	slownessAge := time.Duration(digest.GetSlownessAgeMs()[index]) * time.Millisecond
-	s.admission.Selector.RecordPeerReport(now, id, 0, int(digest.GetLoad()[index]), slownessAge, float64(digest.GetSlowness()[index])/slownessScale)
-	s.markChanged(id)
+	for _, id := range s.admission.Selector.Changed(now, within, inUse) {
+		inFlight, age, busy, slownessAge, slowness, known := s.admission.Selector.DigestForPeers(now, id)
+		if known {
+			appendState(message, id, inFlight, age, busy, slownessAge, slowness)
+		}
+	}
 }
 
 // UpstreamState returns this balancer's in-flight count of an upstream and the upstream's last load report. The age is
@@ -101,7 +91,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.init()
-	s.admission.Selector.RecordPeerInFlight(now, message.GetProcess(), id, int(message.GetInFlight()[index]))
+	inFlight := int(message.GetInFlight()[index])
+	if dataCentre := message.GetDigestOf(); dataCentre != "" {
+		s.admission.Selector.RecordRemoteInFlight(now, xxhash.Sum64String(dataCentre), id, inFlight)
+	} else {
+		s.admission.Selector.RecordPeerInFlight(now, message.GetProcess(), id, inFlight)
+	}
 	if ageMs := message.GetAgeMs()[index]; ageMs > 0 {
 		age := time.Duration(ageMs-1) * time.Millisecond
 		slownessAge := age
