Split and explain what a newcomer reads twice; tell other data centres of counts that lapsed

Change of behaviour, found while reading: a peer's count that was dropped with its full state was not told to other data centres, where it counted for up to 1.5 s.

--- a/core/cvadmission/fleet_test.go
+++ b/core/cvadmission/fleet_test.go
@@ -17,6 +17,7 @@
 	"comfreyvale/core/cvrequirements"
 	"comfreyvale/core/cvselector"
 	"comfreyvale/core/cvturns"
+	"comfreyvale/core/cvupstreamstate"
 	"comfreyvale/core/cvwaiter"
 )
 
@@ -162,11 +163,11 @@
 	for _, from := range all {
 		for n := range fleetUpstreams {
 			id := fmt.Sprint(n)
-			inFlight, age, busy, slownessAge, slowness, _ := from.selector.StateForPeers(now, id)
+			state, _ := from.selector.OwnState(now, id)
 			for _, to := range all {
 				if to != from {
-					to.selector.RecordPeerInFlight(now, from.id, id, inFlight)
-					to.selector.RecordPeerReport(now, id, age, busy, slownessAge, slowness)
+					to.selector.RecordPeerInFlight(now, from.id, id, state.InFlight())
+					to.selector.RecordPeerReport(now, id, state)
 				}
 			}
 		}
@@ -176,8 +177,8 @@
 func (f *fleetSimulation) probe(now time.Time, all []*balancer) {
 	for n, u := range f.upstreams {
 		b := all[n%len(all)]
-		if _, age, _, _, _, _ := b.selector.StateForPeers(now, fmt.Sprint(n)); age > fleetMaxReportAge {
-			b.selector.RecordPeerReport(now, fmt.Sprint(n), 0, u.running+len(u.queue), 0, u.slowness(now))
+		if state, _ := b.selector.OwnState(now, fmt.Sprint(n)); state.LoadAge() > fleetMaxReportAge {
+			b.selector.RecordPeerReport(now, fmt.Sprint(n), cvupstreamstate.New(0).WithLoad(u.running+len(u.queue), 0).WithSlowness(u.slowness(now), 0))
 		}
 	}
 }
--- a/core/cvadmission/simulation_test.go
+++ b/core/cvadmission/simulation_test.go
@@ -16,6 +16,7 @@
 	"comfreyvale/core/cvloadreport"
 	"comfreyvale/core/cvrequirements"
 	"comfreyvale/core/cvselector"
+	"comfreyvale/core/cvupstreamstate"
 	"comfreyvale/core/cvwaiter"
 )
 
@@ -330,6 +331,11 @@
 	return granted
 }
 
+// slowUpstream returns a fresh report of an idle upstream.
+func slowUpstream(slowness float64) cvupstreamstate.State {
+	return cvupstreamstate.New(0).WithLoad(0, 0).WithSlowness(slowness, 0)
+}
+
 // TestTakesALateSlotWhenNobodyWaits guards against refusing a request while a slot is free: it gets the slot even if it
 // will be late, for any expected processing time and any time between released slots.
 func TestTakesALateSlotWhenNobodyWaits(t *testing.T) {
@@ -350,12 +356,12 @@
 			a := &cvadmission.Admission{Selector: selector}
 			a.RecordRelease(start.Add(-10 * time.Second))
 			a.RecordRelease(start)
-			selector.RecordPeerReport(start, "0", 0, 0, 0, c.slowness)
+			selector.RecordPeerReport(start, "0", slowUpstream(c.slowness))
 			w := cvwaiter.New(start, cvrequirements.New(start.Add(simTarget), start.Add(simDeadline), 0, false).WithServiceTime(c.work))
 			decision := a.Enter(start, 1, w)
 			require.NotEqual(t, cvadmission.Refused, decision)
 			for now := start; decision == cvadmission.Waiting && now.Before(start.Add(simTarget)); now = now.Add(10 * time.Millisecond) {
-				selector.RecordPeerReport(now, "0", 0, 0, 0, c.slowness)
+				selector.RecordPeerReport(now, "0", slowUpstream(c.slowness))
 				if _, ok := a.Next(now, 1); ok {
 					decision = cvadmission.Granted
 				}
@@ -373,11 +379,11 @@
 	selector.Update(simStart, []*cvinstance.Instance{cvinstance.New("0", "g", "", "dc", simSlots)})
 	admission := &cvadmission.Admission{Selector: selector}
 	const deadline = 500 * time.Millisecond
-	selector.RecordPeerReport(simStart, "0", 0, 0, 0, simSlowness)
+	selector.RecordPeerReport(simStart, "0", slowUpstream(simSlowness))
 	waiter := cvwaiter.New(simStart, cvrequirements.New(simStart.Add(time.Second), simStart.Add(deadline), 0, false).WithServiceTime(400*time.Millisecond))
 	require.Equal(t, cvadmission.Waiting, admission.Enter(simStart, 1, waiter))
 	for now := simStart; now.Before(simStart.Add(deadline)); now = now.Add(simTick) {
-		selector.RecordPeerReport(now, "0", 0, 0, 0, simSlowness)
+		selector.RecordPeerReport(now, "0", slowUpstream(simSlowness))
 		require.Empty(t, admission.RemoveExpired(now))
 		if _, granted := admission.Next(now, 1); granted {
 			return
--- a/core/cvpeertable/cvpeertable_test.go
+++ b/core/cvpeertable/cvpeertable_test.go
@@ -22,6 +22,19 @@
 	table.RecordState(now, address, message)
 }
 
+// viewsOf returns the tables of balancers of one data centre that know of each other.
+func viewsOf(addresses []string) []*cvpeertable.Table {
+	var views []*cvpeertable.Table
+	for _, self := range addresses {
+		table := &cvpeertable.Table{Self: self, DataCentre: "x"}
+		for _, other := range addresses {
+			update(table, start, other, "x", 1)
+		}
+		views = append(views, table)
+	}
+	return views
+}
+
 // TestLive checks which balancers are live, and when a silent address gets another message.
 func TestLive(t *testing.T) {
 	table := &cvpeertable.Table{Self: "a", DataCentre: "x"}
@@ -100,14 +113,7 @@
 // share.
 func TestTasks(t *testing.T) {
 	addresses := []string{"a", "b", "c", "d", "e"}
-	var views []*cvpeertable.Table
-	for _, self := range addresses {
-		table := &cvpeertable.Table{Self: self, DataCentre: "x"}
-		for _, other := range addresses {
-			update(table, start, other, "x", 1)
-		}
-		views = append(views, table)
-	}
+	views := viewsOf(addresses)
 	share := map[string]int{}
 	for task := range 200 {
 		mine := 0
@@ -228,14 +234,9 @@
 // TestSpeaks checks that exactly one balancer of a data centre sends its state to the others in a slot, each in turn.
 func TestSpeaks(t *testing.T) {
 	addresses := []string{"a", "b", "c", "d", "e"}
-	var views []*cvpeertable.Table
-	for _, self := range addresses {
-		table := &cvpeertable.Table{Self: self, DataCentre: "x"}
-		for _, other := range addresses {
-			update(table, start, other, "x", 1)
-		}
+	views := viewsOf(addresses)
+	for _, table := range views {
 		update(table, start, "f", "y", 1)
-		views = append(views, table)
 	}
 	spoken := map[string]bool{}
 	for slot := int64(1000); slot < 1005; slot++ {
--- a/core/cvselector/reports.go
+++ b/core/cvselector/reports.go
@@ -1,11 +1,11 @@
 package cvselector
 
 import (
-	"math"
 	"time"
 
 	"comfreyvale/core/cvinstance"
 	"comfreyvale/core/cvloadreport"
+	"comfreyvale/core/cvupstreamstate"
 )
 
 // RecordReport records a load report of an upstream. ended is how many of the reported requests have ended since: 1 for
@@ -71,11 +71,17 @@
 	u.peerCounts[peer] = count
 }
 
-// RecordPeerReport records a load and a slowness that a peer has learned, with their ages.
-func (s *Selector) RecordPeerReport(now time.Time, id string, age time.Duration, load int, slownessAge time.Duration, slowness float64) {
-	if u := s.byID[id]; u != nil {
-		s.applyReport(now, now.Add(-age), u, load)
-		u.recordSlowness(now, now.Add(-slownessAge), slowness)
+// RecordPeerReport records the load and the slowness that a peer has learned, each if it was reported.
+func (s *Selector) RecordPeerReport(now time.Time, id string, state cvupstreamstate.State) {
+	u := s.byID[id]
+	if u == nil {
+		return
+	}
+	if state.HasLoad() {
+		s.applyReport(now, now.Add(-state.LoadAge()), u, state.Load())
+	}
+	if state.HasSlowness() {
+		u.recordSlowness(now, now.Add(-state.SlownessAge()), state.Slowness())
 	}
 }
 
@@ -85,32 +91,46 @@
 	for _, u := range s.upstreams {
 		if c, ok := u.peerCounts[peer]; ok && c.at.Before(now) {
 			delete(u.peerCounts, peer)
+			if c.count > 0 {
+				u.countsChangedAt = now
+			}
 		}
 	}
 }
 
-// StateForPeers returns this balancer's in-flight attempts on an upstream, and the last reported load and slowness with
-// their ages.
-func (s *Selector) StateForPeers(now time.Time, id string) (inFlight int, age time.Duration, load int, slownessAge time.Duration, slowness float64, known bool) {
+// OwnState returns this balancer's in-flight attempts on an upstream and the last reports, or false for an unknown
+// upstream.
+func (s *Selector) OwnState(now time.Time, id string) (cvupstreamstate.State, bool) {
 	u := s.byID[id]
 	if u == nil {
-		return 0, 0, 0, 0, 0, false
+		return cvupstreamstate.State{}, false
 	}
-	return len(u.attempts), now.Sub(u.reportedAt), u.reportedLoad, now.Sub(u.slownessAt), u.slowness, true
+	return u.addReports(now, cvupstreamstate.New(len(u.attempts))), true
 }
 
-// DigestForPeers returns what other data centres must know of an upstream: the in-flight attempts of this data centre's
-// balancers and, of an upstream in this data centre, the last reported load and slowness with their ages. Those of other
-// upstreams have the age math.MaxInt64.
-func (s *Selector) DigestForPeers(now time.Time, id string) (inFlight int, age time.Duration, load int, slownessAge time.Duration, slowness float64, known bool) {
+// DataCentreState returns the in-flight attempts of this data centre's balancers on an upstream, or false for an unknown
+// upstream. It has the last reports only of an upstream in this data centre: other data centres report theirs.
+func (s *Selector) DataCentreState(now time.Time, id string) (cvupstreamstate.State, bool) {
 	u := s.byID[id]
 	if u == nil {
-		return 0, 0, 0, 0, 0, false
+		return cvupstreamstate.State{}, false
+	}
+	state := cvupstreamstate.New(u.localInFlight(now))
+	if s.near(u) {
+		state = u.addReports(now, state)
+	}
+	return state, true
+}
+
+// addReports adds the last reported load and slowness, if any.
+func (u *upstream) addReports(now time.Time, state cvupstreamstate.State) cvupstreamstate.State {
+	if !u.reportedAt.IsZero() {
+		state = state.WithLoad(u.reportedLoad, now.Sub(u.reportedAt))
 	}
-	if !s.near(u) {
-		return u.localInFlight(now), math.MaxInt64, 0, math.MaxInt64, 0, true
+	if u.slowness > 0 {
+		state = state.WithSlowness(u.slowness, now.Sub(u.slownessAt))
 	}
-	return u.localInFlight(now), now.Sub(u.reportedAt), u.reportedLoad, now.Sub(u.slownessAt), u.slowness, true
+	return state
 }
 
 // Changed returns the IDs of the upstreams of which other data centres must learn: those on which the attempts of this
--- a/io/balancers/cvnode/attempts.go
+++ b/io/balancers/cvnode/attempts.go
@@ -31,6 +31,8 @@
 	// initialWorkShare is the expected work as a share of a route's target latency before enough attempts have ended.
 	// Operators allow for a machine that is about twice as slow as usual.
 	initialWorkShare = 0.4
+	// maxLoggedAge is the age that is logged for a report that never arrived.
+	maxLoggedAge = time.Hour
 	// maxAttempts is the maximum number of attempts of one request, including those that sent no byte.
 	maxAttempts = 8
 )
@@ -224,10 +226,10 @@
 
 // selectionFields returns log fields with the data on which the choice of the upstream was based.
 func (e *exchange) selectionFields(waiter *cvwaiter.Waiter) log.Fields {
-	ownAttempts, age, busy, slowness := e.slots.UpstreamState(waiter.GrantedAt(), waiter.Instance().ID())
+	state := e.slots.UpstreamState(waiter.GrantedAt(), waiter.Instance().ID())
 	return log.Fields{
-		"waitedMs": waiter.GrantedAt().Sub(waiter.EnteredAt()).Milliseconds(), "ownTries": ownAttempts,
-		"reportAgeMs": age.Milliseconds(), "reportBusy": busy, "reportSlowness": slowness,
+		"waitedMs": waiter.GrantedAt().Sub(waiter.EnteredAt()).Milliseconds(), "ownTries": state.InFlight(),
+		"reportAgeMs": min(state.LoadAge(), maxLoggedAge).Milliseconds(), "reportBusy": state.Load(), "reportSlowness": state.Slowness(),
 	}
 }
 
--- a/io/balancers/cvnode/cvnode.go
+++ b/io/balancers/cvnode/cvnode.go
@@ -11,16 +11,13 @@
 
 	"github.com/apex/log"
 	"go.opentelemetry.io/otel/trace"
-	"go.opentelemetry.io/otel/trace/noop"
 	"golang.org/x/sync/errgroup"
 
 	"comfreyvale"
-	"comfreyvale/core/cvbudget"
 	"comfreyvale/core/cvfault"
 	"comfreyvale/core/cvfleet"
 	"comfreyvale/core/cvheadernames"
 	"comfreyvale/core/cvinstance"
-	"comfreyvale/core/cvlimits"
 	"comfreyvale/core/cvquarantine"
 	"comfreyvale/core/cvroutes"
 	"comfreyvale/core/cvterms"
@@ -42,13 +39,6 @@
 	sweepInterval = 500 * time.Millisecond
 	// readHeaderTimeout bounds the time to receive a request header on the ready, peer and admin listeners.
 	readHeaderTimeout = 2 * time.Second
-	// All request bodies in progress together may use the VM's memory divided by bodyMemoryDivisor.
-	bodyMemoryDivisor = 4
-	// megabyte is the unit in which the settings give the VM's memory.
-	megabyte         = 1 << 20
-	maxResponseBytes = 64 << 20
-	// All response bodies that are being received together may use the VM's memory divided by responseMemoryDivisor.
-	responseMemoryDivisor = 4
 )
 
 type fault struct{ cvfault.Fault }
@@ -75,9 +65,13 @@
 	// Tracer may be nil; then no spans are recorded.
 	Tracer trace.Tracer
 
-	settings                    atomic.Pointer[cvnodesettings.Settings]
-	routes                      atomic.Pointer[cvroutes.Table]
-	stopping                    atomic.Bool
+	// settings are the settings in force: Settings until the settings file changes.
+	settings atomic.Pointer[cvnodesettings.Settings]
+	// routes is the configuration in force, nil before the first.
+	routes   atomic.Pointer[cvroutes.Table]
+	stopping atomic.Bool
+
+	// The parts of the process, set by build.
 	server                      *cvhttpserver.Server
 	pool                        *cvpool.Pool
 	metrics                     *cvnodemetrics.Metrics
@@ -95,10 +89,12 @@
 	recentRoutes, recentUpstreams recentRecords
 	// upstreamsLoaded reports whether this process has ever read the directory of upstreams.
 	upstreamsLoaded bool
-	fleet           cvfleet.Fleet
+	// fleet holds the upstreams by the directory.
+	fleet cvfleet.Fleet
 	// peerReachedDirectoryAt is when another balancer last read the directories.
 	peerReachedDirectoryAt time.Time
-	groups                 map[string]*cvslots.Slots
+	// groups holds the slots of the groups of upstreams by name.
+	groups map[string]*cvslots.Slots
 	// upstreamsByHash holds the upstreams by the hashes that identify them in messages between balancers.
 	upstreamsByHash map[uint32]upstreamEntry
 	// drainingByID holds the upstreams last passed to the groups, and whether each is draining.
@@ -122,7 +118,10 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, background := errgroup.WithContext(background)
-	for _, run := range []func(context.Context) error{n.routesWatch.Run, n.upstreamsWatch.Run, n.watchSettings, n.news.Run, n.runRelay, n.probe, n.tick} {
+	tasks := []func(context.Context) error{
+		n.routesWatch.Run, n.upstreamsWatch.Run, n.watchSettings, n.news.Run, n.runRelay, n.probe, n.tick,
+	}
+	for _, run := range tasks {
 		group.Go(func() error { return run(background) })
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: readHeaderTimeout}
@@ -146,37 +145,6 @@
 	return group.Wait()
 }
 
-func (n *Node) build() {
-	n.settings.Store(n.Settings)
-	if n.Tracer == nil {
-		n.Tracer = noop.NewTracerProvider().Tracer("")
-	}
-	n.groups = make(map[string]*cvslots.Slots)
-	n.crashes = make(map[crash]time.Time)
-	n.splitCredits = make(map[string]map[string]float64)
-	n.metrics = cvnodemetrics.New()
-	n.pool = &cvpool.Pool{HeaderNames: n.HeaderNames, MaxResponseBytes: maxResponseBytes, ResponseMemory: int64(n.Settings.MemoryMB()) * megabyte / responseMemoryDivisor, OnOpen: func(string) { n.metrics.ConnectionOpened() }, OnDrop: n.responseDropped}
-	n.news = n.newNews()
-	n.routesWatch, n.upstreamsWatch = n.newWatches()
-	n.relay = &cvrelay.Relay{Snapshot: n.snapshot, Records: n.records}
-	n.server = &cvhttpserver.Server{Handle: n.handle, Repeatable: n.repeatable, Limits: n.limits, OnRefused: n.requestRefused, BodyMemory: int64(n.Settings.MemoryMB()) * megabyte / bodyMemoryDivisor}
-}
-
-func (n *Node) responseDropped(instance, request, reason string) {
-	n.Logger.WithFields(log.Fields{"upstream": instance, "request": request, "reason": reason}).Warn("response dropped")
-}
-
-func (n *Node) requestRefused(remote string, status int, cause error) {
-	n.Logger.WithFields(log.Fields{"caller": remote, "status": status}).WithError(cause).Info("request refused without being handled")
-}
-
-func (n *Node) limits() cvlimits.Limits {
-	if t := n.routes.Load(); t != nil {
-		return t.Limits()
-	}
-	return cvlimits.Default()
-}
-
 // serveReady answers the platform's readiness check, which decides whether this VM gets new connections.
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if n.stopping.Load() || n.routes.Load() == nil {
@@ -186,24 +154,10 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// terms returns the time bounds and retry budgets of the settings in force.
 func (n *Node) terms() cvterms.Terms { return n.settings.Load().Terms() }
 
-// slots returns the slots of a group, and creates them on first use.
-func (n *Node) slots(group string) *cvslots.Slots {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	s := n.groups[group]
-	if s == nil {
-		terms := n.terms()
-		s = &cvslots.Slots{
-			DataCentre: n.Settings.DataCentre(), Balancers: n.news.Sharers, MayTakeFreeSlot: n.news.MayTakeFreeSlot,
-			Budget: &cvbudget.Budget{Window: terms.RetryWindow(), Ratio: terms.RetryRatio() * retryBudgetShare, Slack: terms.RetrySlack() * retryBudgetShare},
-		}
-		n.groups[group] = s
-	}
-	return s
-}
-
+// tick grants slots that become free with time, and removes what has expired, until the context ends.
 func (n *Node) tick(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -224,6 +178,7 @@
 	}
 }
 
+// allSlots returns the slots of all groups by name.
 func (n *Node) allSlots() map[string]*cvslots.Slots {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/io/callers/cvhttpserver/connection.go
+++ b/io/callers/cvhttpserver/connection.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -18,16 +17,8 @@
 const (
 	// maxPipelined limits the requests in flight on one connection. Further requests stay unread.
 	maxPipelined = 32
-	// lingerTimeout is how long the rest of a rejected request is read, and how long the connection stays open after its
-	// write side is closed. Closing a connection with unread input sends a reset, and the caller may then lose the
-	// response.
-	lingerTimeout = 500 * time.Millisecond
-	// maxDiscarded limits what is read behind the last request of a connection.
-	maxDiscarded = 1 << 20
 	// bodyTimeout limits the time to receive a request with its body. It is longer than any deadline of the callers.
 	bodyTimeout = 10 * time.Second
-	// writeTimeout keeps a caller that reads nothing from holding the response's memory forever.
-	writeTimeout = 10 * time.Second
 )
 
 // connection is one connection of a caller. One goroutine reads the requests, one writes the responses, and each
@@ -36,17 +27,20 @@
 	server *Server
 	conn   net.Conn
 	reader *bufio.Reader
-	queue  chan *exchange
+	// queue holds the exchanges whose responses are not sent yet, in the order of their requests.
+	queue chan *exchange
+	// writeSideClosed is set by writeLoop after the last response, and read when writeLoop has returned.
+	writeSideClosed bool
 
 	mu sync.Mutex
 	// pending is the number of requests that were read but not answered.
-	pending   int
+	pending int
+	// receiving is true from the first byte of a request to its last.
 	receiving bool
 	// closing is true once no further request is accepted.
-	closing   bool
+	closing bool
+	// idleSince is when the last response was sent.
 	idleSince time.Time
-	// lingers is true once the write side is closed after the last response. Only writeLoop sets it.
-	lingers bool
 }
 
 type exchange struct {
@@ -60,15 +54,27 @@
 	done chan struct{}
 	// flushed is closed when the response was sent or cannot be sent anymore.
 	flushed chan struct{}
-	// previous is the exchange of the preceding request.
+	// previous is the exchange of the preceding request on the connection, or nil. handle forgets it, so that answered
+	// exchanges can be freed.
 	previous *exchange
 }
 
+func newExchange(request *http.Request, body []byte, arrived time.Time, previous *exchange) *exchange {
+	return &exchange{
+		request: request, body: body, arrived: arrived, previous: previous,
+		done: make(chan struct{}), flushed: make(chan struct{}),
+	}
+}
+
 func newConnection(server *Server, conn net.Conn) *connection {
 	size := server.Limits().MaxHeaderBytes() + headSlack
-	return &connection{server: server, conn: conn, reader: bufio.NewReaderSize(conn, size), queue: make(chan *exchange, maxPipelined), idleSince: time.Now()}
+	return &connection{
+		server: server, conn: conn, reader: bufio.NewReaderSize(conn, size),
+		queue: make(chan *exchange, maxPipelined), idleSince: time.Now(),
+	}
 }
 
+// serve runs until the connection is closed.
 func (c *connection) serve() {
 	defer c.server.remove(c)
 	ctx, end := context.WithCancelCause(context.Background())
@@ -82,7 +88,7 @@
 	c.readLoop(ctx, cancel)
 	close(c.queue)
 	<-finished
-	if c.lingers {
+	if c.writeSideClosed {
 		c.discardInput(c.conn)
 	}
 	c.conn.Close()
@@ -107,14 +113,9 @@
 			c.server.bodyBytes.Add(-int64(len(body)))
 			return
 		}
-		e := &exchange{request: request, body: body, arrived: arrived, previous: previous, done: make(chan struct{}), flushed: make(chan struct{})}
+		e := newExchange(request, body, arrived, previous)
 		if reqErr != nil {
-			c.server.OnRefused(c.conn.RemoteAddr().String(), reqErr.status, reqErr)
-			e.response = comfreyvale.NewAnswer(reqErr.status, nil, nil)
-			e.last = true
-			close(e.done)
-			c.queue <- e
-			c.discardInput(c.reader)
+			c.refuse(e, reqErr)
 			return
 		}
 		e.last = request.Close
@@ -133,24 +134,14 @@
 	}
 }
 
-// watchDisconnect cancels the context if the caller disconnects before the last response. It discards what the caller
-// has sent behind its last request.
-func (c *connection) watchDisconnect(cancel context.CancelFunc) {
-	c.conn.SetReadDeadline(time.Time{})
-	go func() {
-		_, err := io.CopyN(io.Discard, c.reader, maxDiscarded)
-		if err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded) {
-			cancel()
-		}
-	}()
-}
-
-// discardInput discards input for lingerTimeout, because the rest of a rejected request or pipelined ones may still
-// arrive.
-func (c *connection) discardInput(input io.Reader) {
-	c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	// The connection is closed whether or not reading fails.
-	_, _ = io.Copy(io.Discard, input)
+// refuse answers an invalid request, which ends the connection, and discards the rest of it.
+func (c *connection) refuse(e *exchange, cause *requestError) {
+	c.server.OnRefused(c.conn.RemoteAddr().String(), cause.status, cause)
+	e.response = comfreyvale.NewAnswer(cause.status, nil, nil)
+	e.last = true
+	close(e.done)
+	c.queue <- e
+	c.discardInput(c.reader)
 }
 
 // ErrCallerDisconnected is the cause of a context that was cancelled because the caller closed its connection.
@@ -188,6 +179,7 @@
 	}
 }
 
+// startReceiving notes that a request has begun to arrive. It returns errClosing if the connection is closing.
 func (c *connection) startReceiving() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -230,34 +222,6 @@
 	return c.pending == 0
 }
 
-func (c *connection) stopReading() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closing = true
-	if !c.receiving {
-		c.conn.SetReadDeadline(time.Now())
-	}
-}
-
-func (c *connection) closeIfIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.pending == 0 && !c.receiving {
-		c.closing = true
-		c.conn.SetReadDeadline(time.Now())
-	}
-}
-
-// closesAfter reports whether the next response is the connection's last one. If so, no further request is accepted.
-func (c *connection) closesAfter(e *exchange) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if e.last || (c.server.stopping.Load() && c.pending == 1 && !c.receiving) {
-		c.closing = true
-	}
-	return c.closing && c.pending == 1
-}
-
 // handle starts a request that is not repeatable only when all earlier requests are answered: an earlier response that
 // closes the connection tells the caller that the later requests were not read.
 func (c *connection) handle(ctx context.Context, e *exchange) {
@@ -272,60 +236,3 @@
 	e.previous = nil
 	e.response = c.server.Handle(ctx, e.request, e.body, e.arrived)
 }
-
-// writeLoop sends the responses in the order of their requests.
-func (c *connection) writeLoop(cancel context.CancelFunc) {
-	broken := false
-	for e := range c.queue {
-		<-e.done
-		if !broken {
-			broken = !c.send(e)
-		}
-		c.endRequest(e)
-		if broken {
-			cancel()
-			c.stopReading()
-		}
-		close(e.flushed)
-	}
-}
-
-// send reports whether the connection stays open.
-func (c *connection) send(e *exchange) bool {
-	if e.response.Status() == 0 {
-		c.conn.Close()
-		return false
-	}
-	last := c.closesAfter(e)
-	c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	buffers := net.Buffers{renderHead(e.response, last)}
-	if bodyAllowed(e) {
-		buffers = append(buffers, e.response.Body())
-	}
-	if _, err := buffers.WriteTo(c.conn); err != nil {
-		return false
-	}
-	if last {
-		c.linger()
-	}
-	return !last
-}
-
-// linger closes the write side, so that the caller can close the connection first. The connection stays open until
-// then, but at most for lingerTimeout.
-func (c *connection) linger() {
-	closer, ok := c.conn.(interface{ CloseWrite() error })
-	if !ok || closer.CloseWrite() != nil {
-		return
-	}
-	c.lingers = true
-	c.stopReading()
-}
-
-func bodyAllowed(e *exchange) bool {
-	status := e.response.Status()
-	if status == http.StatusNoContent || status == http.StatusNotModified || len(e.response.Body()) == 0 {
-		return false
-	}
-	return e.request == nil || e.request.Method != http.MethodHead
-}
--- a/io/peers/cvnews/cvnews_test.go
+++ b/io/peers/cvnews/cvnews_test.go
@@ -94,26 +94,36 @@
 	return all
 }
 
+// stopAll stops balancers and waits until they have ended.
+func stopAll(t *testing.T, all []*balancer) {
+	for _, b := range all {
+		b.stop()
+	}
+	for _, b := range all {
+		require.NoError(t, <-b.done)
+	}
+}
+
+// awaitMessages waits until every balancer has received the number of every other one.
+func awaitMessages(t *testing.T, all []*balancer) {
+	for _, b := range all {
+		for _, other := range all {
+			require.Eventually(t, func() bool { return other == b || b.hasReceived(other.number) }, 30*time.Second, 5*time.Millisecond)
+		}
+	}
+}
+
 // TestPeerDiscovery guards against balancers that do not find each other through a single seed, miss a peer's messages,
 // or do not notice that a peer has stopped.
 func TestPeerDiscovery(t *testing.T) {
 	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
 	const count = 4
 	all := start(t, count)
-	defer func() {
-		for _, b := range all {
-			b.stop()
-		}
-		for _, b := range all {
-			require.NoError(t, <-b.done)
-		}
-	}()
+	defer stopAll(t, all)
 	for _, b := range all {
 		require.Eventually(t, func() bool { return len(b.news.Live()) == count-1 }, 30*time.Second, 5*time.Millisecond)
-		for number := uint32(1); number <= count; number++ {
-			require.Eventually(t, func() bool { return number == b.number || b.hasReceived(number) }, 30*time.Second, 5*time.Millisecond)
-		}
 	}
+	awaitMessages(t, all)
 	address, version := all[0].news.NewestVersion()
 	require.Equal(t, int64(count), version)
 	require.Equal(t, all[count-1].news.Address, address)
@@ -131,22 +141,11 @@
 func TestMessagesBetweenDataCentres(t *testing.T) {
 	const count = 12
 	all := start(t, count)
-	defer func() {
-		for _, b := range all {
-			b.stop()
-		}
-		for _, b := range all {
-			require.NoError(t, <-b.done)
-		}
-	}()
+	defer stopAll(t, all)
 	for _, b := range all {
 		require.Eventually(t, func() bool { return len(b.news.Live()) == count-1 }, 30*time.Second, 5*time.Millisecond)
 	}
-	for _, b := range all {
-		for number := uint32(1); number <= count; number++ {
-			require.Eventually(t, func() bool { return number == b.number || b.hasReceived(number) }, 30*time.Second, 5*time.Millisecond)
-		}
-	}
+	awaitMessages(t, all)
 	for _, b := range all {
 		b.mu.Lock()
 		for number := range b.local {
--- a/io/upstreams/cvslots/news.go
+++ b/io/upstreams/cvslots/news.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"comfreyvale/core/cvupstreamstate"
 	"comfreyvale/core/cvwire"
 )
 
@@ -12,7 +13,7 @@
 // then.
 const maxReportAge = 300 * time.Millisecond
 
-// unknownReportAge is the age given for a report that never arrived.
+// unknownReportAge is the age sent for a report that never arrived.
 const unknownReportAge = time.Hour
 
 // slownessScale converts a slowness to hundredths, the unit in messages.
@@ -43,23 +44,39 @@
 
 // The caller holds the lock.
 func (s *Slots) addState(now time.Time, message *cvwire.News, id string) {
-	inFlight, age, busy, slownessAge, slowness, known := s.admission.Selector.StateForPeers(now, id)
-	if known {
-		appendState(message, id, inFlight, age, busy, slownessAge, slowness)
+	if state, known := s.admission.Selector.OwnState(now, id); known {
+		appendState(message, id, state)
 	}
 }
 
-func appendState(message *cvwire.News, id string, inFlight int, age time.Duration, busy int, slownessAge time.Duration, slowness float64) {
+// appendState adds an upstream to the lists of a message, without a load report that is too old.
+func appendState(message *cvwire.News, id string, state cvupstreamstate.State) {
 	ageMs := uint32(0)
-	if age < maxReportAge {
-		ageMs = uint32(age.Milliseconds()) + 1
+	if state.LoadAge() < maxReportAge {
+		ageMs = uint32(state.LoadAge().Milliseconds()) + 1
 	}
 	message.Upstreams = append(message.Upstreams, Hash(id))
-	message.InFlight = append(message.InFlight, uint32(inFlight))
+	message.InFlight = append(message.InFlight, uint32(state.InFlight()))
 	message.AgeMs = append(message.AgeMs, ageMs)
-	message.Busy = append(message.Busy, uint32(busy))
-	message.Slowness = append(message.Slowness, uint32(slowness*slownessScale))
-	message.SlownessAgeMs = append(message.SlownessAgeMs, uint32(min(slownessAge, unknownReportAge).Milliseconds()))
+	message.Busy = append(message.Busy, uint32(state.Load()))
+	message.Slowness = append(message.Slowness, uint32(state.Slowness()*slownessScale))
+	message.SlownessAgeMs = append(message.SlownessAgeMs, uint32(min(state.SlownessAge(), unknownReportAge).Milliseconds()))
+}
+
+// stateAt returns the state of the upstream at an index of a message's lists. Older balancers send no slownessAgeMs;
+// their slowness is as old as their load.
+func stateAt(message *cvwire.News, index int) cvupstreamstate.State {
+	state := cvupstreamstate.New(int(message.GetInFlight()[index]))
+	ageMs := message.GetAgeMs()[index]
+	if ageMs == 0 {
+		return state
+	}
+	age := time.Duration(ageMs-1) * time.Millisecond
+	slownessAge := age
+	if ages := message.GetSlownessAgeMs(); index < len(ages) {
+		slownessAge = time.Duration(ages[index]) * time.Millisecond
+	}
+	return state.WithLoad(int(message.GetBusy()[index]), age).WithSlowness(float64(message.GetSlowness()[index])/slownessScale, slownessAge)
 }
 
 // FillDigest adds what other data centres must know: the upstream states that have changed within the given time and, if
@@ -69,21 +86,19 @@
 	defer s.mu.Unlock()
 	s.init()
 	for _, id := range s.admission.Selector.Changed(now, within, inUse) {
-		inFlight, age, busy, slownessAge, slowness, known := s.admission.Selector.DigestForPeers(now, id)
-		if known {
-			appendState(message, id, inFlight, age, busy, slownessAge, slowness)
+		if state, known := s.admission.Selector.DataCentreState(now, id); known {
+			appendState(message, id, state)
 		}
 	}
 }
 
-// UpstreamState returns this balancer's in-flight count of an upstream and the upstream's last load report. The age is
-// at most an hour, also without a report.
-func (s *Slots) UpstreamState(now time.Time, id string) (inFlight int, age time.Duration, busy int, slowness float64) {
+// UpstreamState returns this balancer's in-flight attempts on an upstream and the upstream's last reports.
+func (s *Slots) UpstreamState(now time.Time, id string) cvupstreamstate.State {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.init()
-	inFlight, age, busy, _, slowness, _ = s.admission.Selector.StateForPeers(now, id)
-	return inFlight, min(age, unknownReportAge), busy, slowness
+	state, _ := s.admission.Selector.OwnState(now, id)
+	return state
 }
 
 // RecordPeerState records the upstream state at an index of a peer's message.
@@ -91,20 +106,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.init()
-	inFlight := int(message.GetInFlight()[index])
+	state := stateAt(message, index)
 	if dataCentre := message.GetDigestOf(); dataCentre != "" {
-		s.admission.Selector.RecordRemoteInFlight(now, xxhash.Sum64String(dataCentre), id, inFlight)
+		s.admission.Selector.RecordRemoteInFlight(now, xxhash.Sum64String(dataCentre), id, state.InFlight())
 	} else {
-		s.admission.Selector.RecordPeerInFlight(now, message.GetProcess(), id, inFlight)
-	}
-	if ageMs := message.GetAgeMs()[index]; ageMs > 0 {
-		age := time.Duration(ageMs-1) * time.Millisecond
-		slownessAge := age
-		if ages := message.GetSlownessAgeMs(); index < len(ages) {
-			slownessAge = time.Duration(ages[index]) * time.Millisecond
-		}
-		s.admission.Selector.RecordPeerReport(now, id, age, int(message.GetBusy()[index]), slownessAge, float64(message.GetSlowness()[index])/slownessScale)
+		s.admission.Selector.RecordPeerInFlight(now, message.GetProcess(), id, state.InFlight())
 	}
+	s.admission.Selector.RecordPeerReport(now, id, state)
 }
 
 // DropStalePeerCounts removes a peer's in-flight counts from before now. Call it after recording a full message with
