Log and count the request limits of upstreams

Nothing told whether a balancer had read the limit that an upstream names in its answers, so that 'not known', 'forgotten at a restart' and 'kept by each balancer alone' looked alike. The header is parsed (cvformat), kept for each run of an upstream (cvnamedlimit: the lowest figure of the last second) and logged when it changes; attempts tell the limit and its age, gauge and counter tell how many upstreams name one and how many attempts go to them. No decision uses it yet.

TestLimitLogs, TestLimitInForce, TestRequestLimits.

--- a/core/cvselector/upstream.go
+++ b/core/cvselector/upstream.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"comfreyvale/core/cvinstance"
+	"comfreyvale/core/cvnamedlimit"
 )
 
 type upstream struct {
@@ -24,6 +25,8 @@
 	// slowness is the last reported slowness, 0 before the first report.
 	slowness   float64
 	slownessAt time.Time
+	// limit is the request limit that the upstream names.
+	limit cvnamedlimit.Limit
 	// countsChangedAt is when the attempts of this data centre's balancers last changed, and learnedAt when a load or a
 	// slowness was last learned, as far as this balancer knows.
 	countsChangedAt time.Time
--- a/io/balancers/cvnode/admin.go
+++ b/io/balancers/cvnode/admin.go
@@ -34,6 +34,7 @@
 		"caller_connections":   {"Open connections of callers.", func() float64 { return float64(n.server.OpenConnections()) }},
 		"upstream_connections": {"Open connections to upstreams.", func() float64 { return float64(n.pool.OpenCount()) }},
 		"peers":                {"Other balancers heard of lately.", func() float64 { return float64(len(n.news.Live())) }},
+		"limited_upstreams":    {"Upstreams that limit their requests.", func() float64 { return float64(n.limitedUpstreams()) }},
 		"directory_age_seconds": {"Time since the directories were read, the one read least lately.", func() float64 {
 			return n.readAge(time.Now()).Seconds()
 		}},
--- a/io/balancers/cvnode/attempts.go
+++ b/io/balancers/cvnode/attempts.go
@@ -183,6 +183,9 @@
 // attempt sends the request to an upstream, and releases the slot.
 func (e *exchange) attempt(ctx context.Context, waiter *cvwaiter.Waiter) *attempt {
 	a := &attempt{waiter: waiter, startedAt: time.Now(), selection: e.selectionFields(waiter)}
+	if limit := e.slots.NamedLimit(a.upstream()); limit.PerSecond() > 0 {
+		e.node.metrics.LimitedAttempt(e.group)
+	}
 	ctx, span := e.node.Tracer.Start(ctx, "try", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	a.response, a.err = e.node.pool.Exchange(ctx, waiter.Instance(), e.connectionLimit(), e.tracedMessage(ctx), e.deadline, !e.route.Idempotent())
@@ -201,6 +204,7 @@
 func (e *exchange) recordAttempt(a *attempt) {
 	now := time.Now()
 	e.reportLoad(a.upstream(), a.outcome, a.response)
+	e.node.recordLimit(e.slots, a.waiter.Instance(), a.response, a.startedAt)
 	e.node.metrics.AttemptEnded(e.group, a.outcome.String())
 	e.node.metrics.ResponseReceived(a.waiter.Instance().DataCentre() == e.node.Settings.DataCentre(), len(a.response.Body()))
 	switch a.outcome {
@@ -227,10 +231,14 @@
 // selectionFields returns log fields with the data on which the choice of the upstream was based.
 func (e *exchange) selectionFields(waiter *cvwaiter.Waiter) log.Fields {
 	state := e.slots.UpstreamState(waiter.GrantedAt(), waiter.Instance().ID())
-	return log.Fields{
+	fields := log.Fields{
 		"waitedMs": waiter.GrantedAt().Sub(waiter.EnteredAt()).Milliseconds(), "ownTries": state.InFlight(),
 		"reportAgeMs": min(state.LoadAge(), maxLoggedAge).Milliseconds(), "reportBusy": state.Load(), "reportSlowness": state.Slowness(),
 	}
+	if limit := e.slots.NamedLimit(waiter.Instance().ID()); limit.PerSecond() > 0 {
+		fields["limitPerSecond"], fields["limitAgeMs"], fields["limitFrom"] = limit.PerSecond(), time.Since(limit.StatedAt()).Milliseconds(), limit.Source()
+	}
+	return fields
 }
 
 // hedgeTimer fires after the hedgeQuantile of the attempt durations. It is nil if the request is not hedged.
--- a/io/balancers/cvnode/cvnode.go
+++ b/io/balancers/cvnode/cvnode.go
@@ -99,6 +99,8 @@
 	upstreamsByHash map[uint32]upstreamEntry
 	// drainingByID holds the upstreams last passed to the groups, and whether each is draining.
 	drainingByID map[string]bool
+	// invalidLimits holds the last invalid request limit of upstreams by ID, as logged.
+	invalidLimits map[string]string
 	// splitCredits holds the round-robin credits of nextGroup by route and group.
 	splitCredits map[string]map[string]float64
 	// The requests on which upstreams crashed, and the time of each recent crash.
--- a/io/balancers/cvnode/harness_test.go
+++ b/io/balancers/cvnode/harness_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -35,8 +36,12 @@
 )
 
 var headerNames = cvheadernames.Names{
-	RequestID: "Test-Id", Deadline: "Test-Deadline", Instance: "Test-Instance", NotRun: "Test-Not-Run", Load: "Test-Load", Signature: "Test-Signature",
+	RequestID: "Test-Id", Deadline: "Test-Deadline", Instance: "Test-Instance", NotRun: "Test-Not-Run", Load: "Test-Load", Limit: "Test-Limit", Signature: "Test-Signature",
 	ParseLoad: func(string) (cvloadreport.Report, bool) { return cvloadreport.New(1, 0, 4, 1), true },
+	ParseLimit: func(value string) (float64, bool) {
+		perSecond, err := strconv.ParseFloat(value, 64)
+		return perSecond, err == nil && perSecond > 0
+	},
 }
 
 // testRoutes is the configuration format of these tests.
--- a/io/balancers/cvnode/news.go
+++ b/io/balancers/cvnode/news.go
@@ -105,5 +105,6 @@
 	}
 	n.mu.Lock()
 	n.upstreamsByHash = entries
+	clear(n.invalidLimits)
 	n.mu.Unlock()
 }
--- a/io/balancers/cvnode/probes.go
+++ b/io/balancers/cvnode/probes.go
@@ -65,6 +65,9 @@
 		n.Logger.WithField("upstream", instance.ID()).WithError(err).Info("probe failed; no load report")
 		return
 	}
+	if response.Header().Get(n.HeaderNames.Limit) != "" {
+		n.recordLimit(s, instance, response, time.Now())
+	}
 	if load, ok := n.HeaderNames.ParseLoad(response.Header().Get(n.HeaderNames.Load)); ok && response.Status() != http.StatusMisdirectedRequest {
 		s.RecordReport(time.Now(), instance.ID(), load, 0)
 		n.metrics.LoadReportRequested("taken")
--- a/io/standins/cvfaulty/cvfaulty.go
+++ b/io/standins/cvfaulty/cvfaulty.go
@@ -67,6 +67,7 @@
 	bodies        map[string]string
 	targets       map[string]string
 	lastID        string
+	limit         string
 }
 
 // Start starts to listen and returns the address.
@@ -90,6 +91,23 @@
 	u.mode, u.once = mode, once
 }
 
+// SetLimit sets the value of the request limit in further responses; they name none if it is empty.
+func (u *Upstream) SetLimit(value string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.limit = value
+}
+
+// limitHeader returns the header line with the request limit, or nothing.
+func (u *Upstream) limitHeader() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.limit == "" {
+		return ""
+	}
+	return fmt.Sprintf("%s: %s\r\n", u.HeaderNames.Limit, u.limit)
+}
+
 // RunCount returns how often the request with the given id ran.
 func (u *Upstream) RunCount(id string) int {
 	u.mu.Lock()
@@ -188,7 +206,7 @@
 		return true
 	}
 	if mode == ModeNotRun {
-		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", u.HeaderNames.NotRun)
+		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\n%sContent-Length: 0\r\n\r\n", u.HeaderNames.NotRun, u.limitHeader())
 		return true
 	}
 	if mode == ModeEarlyResponse {
@@ -261,6 +279,6 @@
 }
 
 func (u *Upstream) formatResponse(id, body string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\n%s: 1,0,4,100\r\nContent-Length: %d\r\n\r\n%s",
-		u.HeaderNames.RequestID, id, u.HeaderNames.Signature, u.HeaderNames.Load, len(body), body)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\n%s: 1,0,4,100\r\n%sContent-Length: %d\r\n\r\n%s",
+		u.HeaderNames.RequestID, id, u.HeaderNames.Signature, u.HeaderNames.Load, u.limitHeader(), len(body), body)
 }
