Failing test: an upstream gets more requests than the limit it names

Three balancers, two upstreams, one of which names 1 request a second from its first answer on. The balancers know the limit (their lines have limitPerSecond 1), none is restarted and the news between them flow: no decision uses it.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 GO ?= go
-# KNOWN_RED matches the tests of KNOWN-RED.txt, which are run by themselves and fail nothing; without any it matches none.
-KNOWN_RED := $(or $(shell cut -d'|' -f1 KNOWN-RED.txt 2>/dev/null | tr -d ' ' | paste -sd'|'),^$$)
+# KNOWN_RED matches exactly the tests of KNOWN-RED.txt, which are run by themselves and fail nothing; without any it
+# matches none.
+KNOWN_RED := $(or $(shell cut -d'|' -f1 KNOWN-RED.txt 2>/dev/null | tr -d ' ' | sed 's,/,$$/^,g; s,^,^,; s,$$,$$,' | paste -sd'|'),^$$)
 
 .PHONY: build demo test check path prove soak bench capacity reference
 
@@ -11,7 +12,7 @@
 	$(GO) run ./cmd/comfreyvale dev -demo examples
 
 test:
-	$(GO) test -race . ./cmd/... ./core/... ./io/... ./platform/...
+	$(GO) test -race . ./cmd/... ./core/... ./io/... ./platform/... -skip '$(KNOWN_RED)'
 	$(GO) test -count=1 -timeout 20m ./proof -skip '$(KNOWN_RED)'
 	$(GO) test -count=1 ./soak
 	@scripts/knownred
--- a/io/balancers/cvnode/limits_test.go
+++ b/io/balancers/cvnode/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -46,3 +47,51 @@
 	require.Equal(t, log.Fields{"upstream": "a", "perSecond": 0.0, "from": ""}, awaitLine("upstream no longer limits its requests"))
 	require.Len(t, node.logs.withMessage("ignored an invalid request limit of an upstream"), 1)
 }
+
+// TestUpstreamGetsMoreRequestsThanItNames guards against balancers that send an upstream more requests than the limit
+// that it names to them.
+func TestUpstreamGetsMoreRequestsThanItNames(t *testing.T) {
+	const (
+		limit, balancers = 1, 3
+		pause            = 15 * time.Millisecond
+		// The users' bound: from settled after the first limit on, one and a half times the limit and five requests in
+		// any window.
+		settled, window = 3 * time.Second, 4 * time.Second
+		allowed         = 3*limit*int(window/time.Second)/2 + 5
+	)
+	d := newDeployment(t)
+	limited, other := d.startUpstream("limited", "g"), d.startUpstream("other", "g")
+	limited.SetLimit(fmt.Sprint(limit))
+	d.publish(1, idempotentRoute("g"))
+	for range balancers {
+		d.startNode().awaitReady(t)
+	}
+	for _, n := range d.nodes {
+		n.awaitStatus(t, "/safe/warm", http.StatusOK)
+	}
+	end := time.Now().Add(settled + 2*window)
+	var callers sync.WaitGroup
+	for b, n := range d.nodes {
+		callers.Go(func() {
+			for sent := 0; time.Now().Before(end); sent++ {
+				n.request(t, http.MethodGet, "/safe/x", fmt.Sprintf("r-%d-%d", b, sent), 1000)
+				time.Sleep(pause)
+			}
+		})
+	}
+	callers.Wait()
+	arrivals := limited.Arrivals()
+	require.NotEmpty(t, arrivals)
+	require.NotZero(t, other.TotalRuns())
+	from := arrivals[0].Add(settled)
+	for first, at := range arrivals {
+		if at.Before(from) {
+			continue
+		}
+		last := first
+		for last < len(arrivals) && arrivals[last].Sub(at) < window {
+			last++
+		}
+		require.LessOrEqual(t, last-first, allowed, "requests in %s from %s after the first", window, at.Sub(arrivals[0]))
+	}
+}
--- a/io/standins/cvfaulty/cvfaulty.go
+++ b/io/standins/cvfaulty/cvfaulty.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -68,6 +69,7 @@
 	targets       map[string]string
 	lastID        string
 	limit         string
+	arrivals      []time.Time
 }
 
 // Start starts to listen and returns the address.
@@ -98,6 +100,13 @@
 	u.limit = value
 }
 
+// Arrivals returns when each request arrived, in order, health checks and rejected requests included.
+func (u *Upstream) Arrivals() []time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Clone(u.arrivals)
+}
+
 // limitHeader returns the header line with the request limit, or nothing.
 func (u *Upstream) limitHeader() string {
 	u.mu.Lock()
@@ -187,9 +196,11 @@
 	}
 }
 
+// nextMode records the arrival of a request and returns its mode.
 func (u *Upstream) nextMode() string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.arrivals = append(u.arrivals, time.Now())
 	mode := u.mode
 	if u.once {
 		u.mode, u.once = ModeNormal, false
