Keep the request limits of upstreams, all balancers together

What callers saw: nothing; an upstream in need got 17 requests in 4 s where it had named 1 a second (11 allowed). Cause: the balancers had the figure in their hands, in every answer, and no decision used it. Class: what an answer says about its sender was passed on and not decided on; and a bound on all balancers together needs a decision that they share.

Change: cvnamedlimit keeps the figure, cvpermits divides time into periods of one request each, cvshares gives each period to one balancer by weighted rendezvous hashing, so that nothing has to be asked and a silent balancer makes nobody send too much. The selector passes over an upstream without a permit; admission refuses at once what no permit can come for (upstreamLimit). Limits and the rate of requests travel in the news that are there. Upstreams with a limit are not probed.

--- a/core/cvadmission/cvadmission.go
+++ b/core/cvadmission/cvadmission.go
@@ -49,6 +49,8 @@
 	Refused Decision = iota
 	// Granted means that the request has a slot.
 	Granted
+	// Limited means that the request cannot be sent in time, because each upstream that could take it limits its requests.
+	Limited
 	// Waiting means that the request is queued until Next grants it a slot, or Leave or RemoveExpired removes it.
 	Waiting
 )
@@ -63,6 +65,9 @@
 			return Granted
 		}
 	}
+	if !free && a.limited(now, waiter) {
+		return Limited
+	}
 	// While a slot is free, a request is not refused: it waits for a better slot and finally accepts any.
 	if !free && !a.feasible(now, waiter) {
 		return Refused
@@ -85,7 +90,7 @@
 	if instance == nil {
 		return false, free
 	}
-	waiter.Grant(now, instance)
+	waiter.Grant(now, instance, a.Selector.HeldBack())
 	return true, true
 }
 
@@ -100,6 +105,13 @@
 	return now.Add(a.ExpectedWait()).Before(a.waitDeadline(waiter))
 }
 
+// limited reports whether the upstreams limit their requests so much that there will be no permit for a request which
+// enters now, behind those that wait.
+func (a *Admission) limited(now time.Time, waiter *cvwaiter.Waiter) bool {
+	permits, _, limited := a.Selector.PermitsBefore(now, a.waitDeadline(waiter), waiter.Need())
+	return limited && permits <= len(a.waiting)
+}
+
 // waitDeadline returns a request's latest start, but at least minQueueTime after it entered.
 func (a *Admission) waitDeadline(waiter *cvwaiter.Waiter) time.Time {
 	deadline := a.Selector.LatestStart(waiter.Need())
--- a/core/cvadmission/simulation_test.go
+++ b/core/cvadmission/simulation_test.go
@@ -103,12 +103,16 @@
 
 // run simulates arrivals at a fixed mean rate that does not depend on the answers (an open loop).
 func (s *simulation) run(perSecond float64, arrive func(now time.Time)) simResult {
+	return s.runFor(simTime, perSecond, arrive)
+}
+
+func (s *simulation) runFor(length time.Duration, perSecond float64, arrive func(now time.Time)) simResult {
 	start := simStart
 	var next func(now time.Time)
 	next = func(now time.Time) {
 		s.result.total++
 		arrive(now)
-		if gap := time.Duration(s.random.ExpFloat64() / perSecond * float64(time.Second)); now.Sub(start) < simTime {
+		if gap := time.Duration(s.random.ExpFloat64() / perSecond * float64(time.Second)); now.Sub(start) < length {
 			s.schedule(now.Add(gap), next)
 		}
 	}
--- a/core/cvpeertable/cvpeertable.go
+++ b/core/cvpeertable/cvpeertable.go
@@ -69,6 +69,8 @@
 	readAt        time.Time
 	routesNext    int64
 	upstreamsNext int64
+	// demand is the rate of the balancer's requests, in requests a second.
+	demand float32
 	// receivedAt is when the last message from or about the balancer arrived, sentAt when AddressesToRetry last returned
 	// the address.
 	receivedAt time.Time
@@ -115,6 +117,7 @@
 	found.directoryAway, found.unreadable, found.readsForOthers = message.GetDirectoryAway(), message.GetUnreadable(), message.GetReading()
 	found.readAt = now.Add(-time.Duration(message.GetReadAgeMs()) * time.Millisecond)
 	found.routesNext, found.upstreamsNext = message.GetRoutesNext(), message.GetUpstreamsNext()
+	found.demand = message.GetDemand()
 	if message.GetWantsReply() && t.remote(found) {
 		found.wantsReply, t.replyDue = true, true
 	}
--- a/core/cvpeertable/cvpeertable_test.go
+++ b/core/cvpeertable/cvpeertable_test.go
@@ -338,3 +338,42 @@
 	require.GreaterOrEqual(t, table.Sharers(start), 31)
 	require.Less(t, table.Sharers(start), 40)
 }
+
+// TestDemands checks among which balancers the requests that an upstream takes are divided.
+func TestDemands(t *testing.T) {
+	const demand = 8
+	cases := map[string]struct {
+		addresses []string
+		heard     time.Duration
+		stopping  bool
+		silence   time.Duration
+		counted   bool
+		isolated  bool
+	}{
+		"alone":                        {},
+		"none of the seeds answers":    {addresses: []string{"b"}, isolated: true},
+		"another":                      {addresses: []string{"b"}, heard: time.Second, counted: true},
+		"one that stops":               {addresses: []string{"b"}, heard: time.Second, stopping: true},
+		"one that is silent":           {addresses: []string{"b"}, heard: time.Second, silence: 10 * time.Second, counted: true, isolated: true},
+		"one that was silent for long": {addresses: []string{"b"}, heard: time.Second, silence: time.Minute, isolated: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			table := &cvpeertable.Table{Self: "a", DataCentre: "dc"}
+			table.AddAddresses(now, c.addresses)
+			if c.heard > 0 {
+				now = now.Add(c.heard)
+				require.True(t, table.RecordMessage(now, "b", 1, 1))
+				table.RecordState(now, "b", &cvwire.News{DataCentre: "dc", Whole: true, Demand: demand, Stopping: c.stopping})
+			}
+			demands, isolated := table.Demands(now.Add(c.silence))
+			require.Equal(t, c.isolated, isolated)
+			if c.counted {
+				require.Equal(t, map[string]float64{"b": demand}, demands)
+			} else {
+				require.Empty(t, demands)
+			}
+		})
+	}
+}
--- a/core/cvpeertable/members.go
+++ b/core/cvpeertable/members.go
@@ -15,6 +15,7 @@
 			Address: address, AgeMs: uint32(now.Sub(p.receivedAt).Milliseconds()), Version: p.version, Stopping: p.stopping,
 			DirectoryAway: p.directoryAway, Unreadable: p.unreadable, Reading: p.readsForOthers,
 			ReadAgeMs: uint32(min(now.Sub(p.readAt), time.Hour).Milliseconds()), RoutesNext: p.routesNext, UpstreamsNext: p.upstreamsNext,
+			Demand: p.demand,
 		})
 	}
 	return found
@@ -40,6 +41,7 @@
 		p.version, p.stopping = m.GetVersion(), m.GetStopping()
 		p.directoryAway, p.unreadable, p.readsForOthers = m.GetDirectoryAway(), m.GetUnreadable(), m.GetReading()
 		p.readAt = now.Add(-time.Duration(m.GetReadAgeMs()) * time.Millisecond)
+		p.demand = m.GetDemand()
 		p.routesNext, p.upstreamsNext = m.GetRoutesNext(), m.GetUpstreamsNext()
 	}
 }
@@ -67,3 +69,20 @@
 	}
 	return slot%int64(count) == int64(index)
 }
+
+// Demands returns the rates of the requests of the other balancers that are not stopping, by address, as they last told
+// them. A balancer that is silent keeps its share of what all divide for sharerTimeout. isolated reports that there are
+// other addresses, but that no balancer has been heard of lately: this one has just started or is cut off.
+func (t *Table) Demands(now time.Time) (demands map[string]float64, isolated bool) {
+	demands = make(map[string]float64)
+	isolated = len(t.peers) > 0
+	for address, p := range t.peers {
+		if t.isLive(now, p) {
+			isolated = false
+		}
+		if !p.stopping && !p.receivedAt.IsZero() && now.Sub(p.receivedAt) < sharerTimeout {
+			demands[address] = float64(p.demand)
+		}
+	}
+	return demands, isolated
+}
--- a/core/cvselector/cvselector.go
+++ b/core/cvselector/cvselector.go
@@ -75,6 +75,9 @@
 	// MayTakeFreeSlot reports whether this balancer may now take one of the free slots of an upstream, near if it is in
 	// this data centre; nil means always.
 	MayTakeFreeSlot func(now time.Time, id string, near bool, free int) bool
+	// OwnsPeriod reports whether a period in which an upstream takes limited requests belongs to this balancer; nil means
+	// every period.
+	OwnsPeriod func(id string, period int64) bool
 
 	upstreams []*upstream
 	byID      map[string]*upstream
@@ -82,6 +85,8 @@
 	serviceTime float64
 	// slowness is the moving average of the reports, 0 before the first.
 	slowness float64
+	// heldBack is the upstream that the last pick would have preferred but for its request limit.
+	heldBack *upstream
 }
 
 // Update replaces the set of upstreams. It keeps the state of those that have neither restarted nor changed their
@@ -132,8 +137,8 @@
 // bestUpstream returns the upstream that is expected to answer soonest, among those with a free slot that the request
 // may take, and its expected latency, or nil.
 func (s *Selector) bestUpstream(now time.Time, draw uint64, reqs cvrequirements.Requirements) (*upstream, time.Duration) {
-	var best *upstream
-	var bestTime float64
+	var best, preferred *upstream
+	var bestTime, preferredTime float64
 	for n, u := range s.upstreams {
 		if slices.Contains(reqs.Avoid(), u.instance.ID()) || !u.available(now) {
 			continue
@@ -143,10 +148,17 @@
 			continue
 		}
 		expected := s.expectedLatency(now, u, load, reqs) * (1 + jitterShare*cvjitter.Fraction(draw, n))
-		if best == nil || expected < bestTime {
+		if preferred == nil || expected < preferredTime {
+			preferred, preferredTime = u, expected
+		}
+		if (best == nil || expected < bestTime) && s.permitted(now, u) {
 			best, bestTime = u, expected
 		}
 	}
+	s.heldBack = nil
+	if preferred != best {
+		s.heldBack = preferred
+	}
 	return best, time.Duration(bestTime)
 }
 
@@ -170,15 +182,23 @@
 	return count
 }
 
-// Utilization returns the known load of the upstreams that accept requests, as a share of their slots.
+// Utilization returns the known load of the upstreams that accept requests, as a share of their slots. Upstreams that
+// limit their requests have no slots to spare.
 func (s *Selector) Utilization(now time.Time) float64 {
-	taken, slots := 0.0, 0
+	taken, slots, limited := 0.0, 0, false
 	for _, u := range s.upstreams {
+		if u.limited() {
+			limited = true
+			continue
+		}
 		if u.available(now) {
 			taken += min(s.load(now, u), float64(u.instance.Slots()))
 			slots += u.instance.Slots()
 		}
 	}
+	if limited && slots == 0 {
+		return 1
+	}
 	return taken / float64(max(slots, 1))
 }
 
--- a/core/cvselector/reports.go
+++ b/core/cvselector/reports.go
@@ -135,23 +135,24 @@
 
 // Changed returns the IDs of the upstreams of which other data centres must learn: those on which the attempts of this
 // data centre's balancers have changed within the given time, and those of this data centre of which a load or a
-// slowness was learned within that time. If inUse is set, also those with attempts in flight.
+// slowness was learned within that time, and those whose request limit has changed. If inUse is set, also those with
+// attempts in flight, and those that have lately stated a limit.
 func (s *Selector) Changed(now time.Time, within time.Duration, inUse bool) []string {
 	var found []string
 	for _, u := range s.upstreams {
-		if now.Sub(u.countsChangedAt) <= within || s.near(u) && now.Sub(u.learnedAt) <= within || inUse && u.localInFlight(now) > 0 {
+		if now.Sub(u.countsChangedAt) <= within || s.near(u) && now.Sub(u.learnedAt) <= within || inUse && (u.localInFlight(now) > 0 || u.limitStated(now)) || now.Sub(u.limitChangedAt) <= within {
 			found = append(found, u.instance.ID())
 		}
 	}
 	return found
 }
 
-// UpstreamsToProbe returns the upstreams in this data centre that are not draining and whose last report and last probe
+// UpstreamsToProbe returns the upstreams in this data centre that are not draining, do not limit their requests, and whose last report and last probe
 // are older than age.
 func (s *Selector) UpstreamsToProbe(now time.Time, age time.Duration) []*cvinstance.Instance {
 	var found []*cvinstance.Instance
 	for _, u := range s.upstreams {
-		if s.near(u) && !u.instance.Draining() && now.Sub(u.reportedAt) > age && now.Sub(u.probedAt) > age {
+		if s.near(u) && !u.instance.Draining() && !u.limited() && now.Sub(u.reportedAt) > age && now.Sub(u.probedAt) > age {
 			found = append(found, u.instance)
 		}
 	}
--- a/core/cvselector/upstream.go
+++ b/core/cvselector/upstream.go
@@ -5,6 +5,7 @@
 
 	"comfreyvale/core/cvinstance"
 	"comfreyvale/core/cvnamedlimit"
+	"comfreyvale/core/cvpermits"
 )
 
 type upstream struct {
@@ -27,6 +28,10 @@
 	slownessAt time.Time
 	// limit is the request limit that the upstream names.
 	limit cvnamedlimit.Limit
+	// permits are the requests that this balancer may send while a limit is in force.
+	permits cvpermits.Permits
+	// limitChangedAt is when the limit in force last changed here.
+	limitChangedAt time.Time
 	// countsChangedAt is when the attempts of this data centre's balancers last changed, and learnedAt when a load or a
 	// slowness was last learned, as far as this balancer knows.
 	countsChangedAt time.Time
@@ -86,7 +91,11 @@
 	u.unattributed = max(float64(u.reportedLoad-len(u.attempts)-u.peerInFlight(now)), 0)
 }
 
+// begin adds an attempt, which uses a permit of an upstream that limits its requests.
 func (u *upstream) begin(now time.Time) {
+	if u.limited() {
+		u.permits.Take()
+	}
 	u.attempts = append(u.attempts, now)
 	u.countsChangedAt = now
 }
--- a/core/cvwaiter/cvwaiter.go
+++ b/core/cvwaiter/cvwaiter.go
@@ -14,6 +14,7 @@
 	enteredAt time.Time
 	grantedAt time.Time
 	instance  *cvinstance.Instance
+	heldBack  string
 }
 
 // New returns a Waiter for a request that enters now.
@@ -21,10 +22,12 @@
 	return &Waiter{need: need, enteredAt: now}
 }
 
-// Grant assigns a slot of an upstream to the request.
-func (w *Waiter) Grant(now time.Time, instance *cvinstance.Instance) {
+// Grant assigns a slot of an upstream to the request. heldBack is the upstream that would have been preferred but for
+// its request limit, or "".
+func (w *Waiter) Grant(now time.Time, instance *cvinstance.Instance, heldBack string) {
 	w.grantedAt = now
 	w.instance = instance
+	w.heldBack = heldBack
 }
 
 // Need returns the requirements of the request.
@@ -38,3 +41,6 @@
 
 // Instance returns the upstream whose slot the request got, or nil.
 func (w *Waiter) Instance() *cvinstance.Instance { return w.instance }
+
+// HeldBack returns the upstream that would have been preferred but for its request limit, or "".
+func (w *Waiter) HeldBack() string { return w.heldBack }
--- a/errors.go
+++ b/errors.go
@@ -12,6 +12,7 @@
 	KindUncertain   Kind = "uncertain"
 	KindTimeout     Kind = "timeout"
 	KindExhausted   Kind = "exhausted"
+	KindLimited     Kind = "limited"
 )
 
 // Fault is implemented by the error types of all packages.
--- a/io/balancers/cvnode/attempts.go
+++ b/io/balancers/cvnode/attempts.go
@@ -236,7 +236,12 @@
 		"reportAgeMs": min(state.LoadAge(), maxLoggedAge).Milliseconds(), "reportBusy": state.Load(), "reportSlowness": state.Slowness(),
 	}
 	if limit := e.slots.NamedLimit(waiter.Instance().ID()); limit.PerSecond() > 0 {
-		fields["limitPerSecond"], fields["limitAgeMs"], fields["limitFrom"] = limit.PerSecond(), time.Since(limit.StatedAt()).Milliseconds(), limit.Source()
+		addLimit(fields, limit)
+	}
+	if id := waiter.HeldBack(); id != "" {
+		fields["heldBackFrom"] = id
+		addLimit(fields, e.slots.NamedLimit(id))
+		e.node.metrics.LimitHeldBack(e.group)
 	}
 	return fields
 }
--- a/io/balancers/cvnode/build.go
+++ b/io/balancers/cvnode/build.go
@@ -80,6 +80,7 @@
 		}
 		s = &cvslots.Slots{
 			DataCentre: n.Settings.DataCentre(), Budget: budget, Balancers: n.news.Sharers, MayTakeFreeSlot: n.news.MayTakeFreeSlot,
+			OwnsPeriod: n.news.OwnsPeriod,
 		}
 		n.groups[group] = s
 	}
--- a/io/balancers/cvnode/cvnode.go
+++ b/io/balancers/cvnode/cvnode.go
@@ -19,6 +19,7 @@
 	"comfreyvale/core/cvheadernames"
 	"comfreyvale/core/cvinstance"
 	"comfreyvale/core/cvquarantine"
+	"comfreyvale/core/cvrate"
 	"comfreyvale/core/cvroutes"
 	"comfreyvale/core/cvterms"
 	"comfreyvale/io/balancers/cvlisteners"
@@ -106,6 +107,8 @@
 	// The requests on which upstreams crashed, and the time of each recent crash.
 	quarantine cvquarantine.Quarantine
 	crashes    map[crash]time.Time
+	// demand is the rate of the requests that arrive here.
+	demand cvrate.Rate
 }
 
 // Run serves requests until ctx is done or a background task fails, then shuts down gracefully. Call it once.
--- a/io/balancers/cvnode/limits.go
+++ b/io/balancers/cvnode/limits.go
@@ -9,6 +9,7 @@
 	"comfreyvale"
 	"comfreyvale/core/cvinstance"
 	"comfreyvale/core/cvnamedlimit"
+	"comfreyvale/core/cvwire"
 	"comfreyvale/io/upstreams/cvslots"
 )
 
@@ -34,7 +35,7 @@
 	default:
 		return
 	}
-	if limit, changed := s.RecordLimit(at, instance, perSecond); changed {
+	if limit, changed := s.RecordLimit(time.Now(), at, instance, perSecond); changed {
 		n.logLimit(instance.ID(), limit)
 	}
 }
@@ -67,3 +68,28 @@
 	}
 	return count
 }
+
+// receiveLimits records the request limits that another balancer has told.
+func (n *Node) receiveLimits(now time.Time, from string, message *cvwire.News, entries map[uint32]upstreamEntry) {
+	for _, told := range message.GetLimits() {
+		e, ok := entries[told.GetUpstream()]
+		if !ok {
+			continue
+		}
+		if limit, changed := e.slots.RecordPeerLimit(now, told, e.instance, from); changed {
+			n.logLimit(e.instance.ID(), limit)
+		}
+	}
+}
+
+// addLimit adds a request limit to the log fields of an attempt.
+func addLimit(fields log.Fields, limit cvnamedlimit.Limit) {
+	fields["limitPerSecond"], fields["limitAgeMs"], fields["limitFrom"] = limit.PerSecond(), time.Since(limit.StatedAt()).Milliseconds(), limit.Source()
+}
+
+// recordDemand counts a request that arrives.
+func (n *Node) recordDemand(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.demand.Add(now)
+}
--- a/io/balancers/cvnode/limits_test.go
+++ b/io/balancers/cvnode/limits_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/apex/log"
 	"github.com/stretchr/testify/require"
+
+	"comfreyvale"
 )
 
 // withMessage returns the fields of the log lines with a message.
@@ -95,3 +97,42 @@
 		require.LessOrEqual(t, last-first, allowed, "requests in %s from %s after the first", window, at.Sub(arrivals[0]))
 	}
 }
+
+// TestRefusedByLimit checks that a request which no upstream takes in time is refused at once, and that the reason names
+// the limit.
+func TestRefusedByLimit(t *testing.T) {
+	_, upstream, node := startServing(t, idempotentRoute("g"))
+	upstream.SetLimit("0.001")
+	sent := 0
+	require.Eventually(t, func() bool {
+		sent++
+		response, _ := node.request(t, http.MethodGet, "/safe/x", fmt.Sprint("refused-", sent), 1000)
+		return response.StatusCode == http.StatusServiceUnavailable
+	}, 30*time.Second, 10*time.Millisecond)
+	id := fmt.Sprint("refused-", sent)
+	require.Equal(t, []string{"refused", "request"}, node.logs.messages(id), "it was not queued for an upstream")
+	fields := node.logs.fields(id)[0]
+	require.Equal(t, comfreyvale.CauseUpstreamLimit, fields["cause"])
+	require.Contains(t, fields["reason"], "a takes the most, 0.001 a second, stated ")
+	require.Contains(t, fields["reason"], "known from an answer")
+	require.Zero(t, upstream.RunCount(id))
+}
+
+// TestLimitOfPeer checks that a balancer learns of a limit from another one.
+func TestLimitOfPeer(t *testing.T) {
+	d := newDeployment(t)
+	limited := d.startUpstream("a", "g")
+	d.publish(1, idempotentRoute("g"))
+	first, second := d.startNode(), d.startNode()
+	first.awaitReady(t)
+	second.awaitReady(t)
+	limited.SetLimit("30")
+	const message = "upstream limits its requests"
+	sent := 0
+	require.Eventually(t, func() bool {
+		sent++
+		first.request(t, http.MethodGet, "/safe/x", fmt.Sprint("told-", sent), 1000)
+		return len(second.logs.withMessage(message)) > 0
+	}, 30*time.Second, 20*time.Millisecond)
+	require.Equal(t, log.Fields{"upstream": "a", "perSecond": 30.0, "from": fmt.Sprintf("127.0.1.1:%d", d.ports[3])}, second.logs.withMessage(message)[0])
+}
--- a/io/balancers/cvnode/news.go
+++ b/io/balancers/cvnode/news.go
@@ -11,8 +11,8 @@
 
 // upstreamEntry is an upstream with the slots of its group.
 type upstreamEntry struct {
-	slots *cvslots.Slots
-	id    string
+	slots    *cvslots.Slots
+	instance *cvinstance.Instance
 }
 
 func (n *Node) newNews() *cvnews.News {
@@ -30,7 +30,7 @@
 	return 0
 }
 
-// fillState adds the version of the configuration and the state of the directories to a message.
+// fillState adds the version of the configuration, the state of the directories and the rate of requests to a message.
 func (n *Node) fillState(now time.Time, message *cvwire.News) {
 	if t := n.routes.Load(); t != nil {
 		message.Version = t.Version()
@@ -39,6 +39,7 @@
 	n.addReadState(now, message)
 	n.mu.Lock()
 	message.DirectoryAway = n.directoryUnavailable()
+	message.Demand = float32(n.demand.PerSecond(now))
 	n.mu.Unlock()
 }
 
@@ -58,7 +59,7 @@
 	}
 }
 
-func (n *Node) receiveNews(now time.Time, message *cvwire.News) {
+func (n *Node) receiveNews(now time.Time, from string, message *cvwire.News) {
 	n.receiveCrashes(now, message)
 	count := len(message.GetUpstreams())
 	if len(message.GetInFlight()) != count || len(message.GetAgeMs()) != count || len(message.GetBusy()) != count || len(message.GetSlowness()) != count {
@@ -76,9 +77,10 @@
 		}
 	}
 	n.mu.Unlock()
+	n.receiveLimits(now, from, message, entries)
 	for index, hash := range message.GetUpstreams() {
 		if e, ok := entries[hash]; ok {
-			e.slots.RecordPeerState(now, message, index, e.id)
+			e.slots.RecordPeerState(now, message, index, e.instance.ID())
 		}
 	}
 	if message.GetWhole() {
@@ -100,7 +102,7 @@
 	for group, instances := range byGroup {
 		s := n.slots(group)
 		for _, i := range instances {
-			entries[cvslots.Hash(i.ID())] = upstreamEntry{slots: s, id: i.ID()}
+			entries[cvslots.Hash(i.ID())] = upstreamEntry{slots: s, instance: i}
 		}
 	}
 	n.mu.Lock()
--- a/io/balancers/cvnode/request.go
+++ b/io/balancers/cvnode/request.go
@@ -102,6 +102,7 @@
 	elapsed := e.slots.ObserveTimeout(arrived, route.Name(), e.deadline.Sub(arrived))
 	e.target = arrived.Add(route.TargetLatency() - elapsed)
 	e.slots.RecordRequest(time.Now())
+	n.recordDemand(time.Now())
 	ctx, span := n.startSpan(ctx, request, id)
 	response := e.run(ctx)
 	span.SetAttributes(attribute.Int("status", response.Status()), attribute.String("route", route.Name()))
@@ -208,6 +209,8 @@
 	switch cvfault.KindOf(err) {
 	case comfreyvale.KindNotFound:
 		return comfreyvale.CauseNoUpstream
+	case comfreyvale.KindLimited:
+		return comfreyvale.CauseUpstreamLimit
 	case comfreyvale.KindTimeout:
 		return comfreyvale.CauseDeadline
 	}
--- a/io/operators/cvnodemetrics/cvnodemetrics.go
+++ b/io/operators/cvnodemetrics/cvnodemetrics.go
@@ -26,6 +26,7 @@
 	latency      *prometheus.HistogramVec
 	attempts     *prometheus.CounterVec
 	limited      *prometheus.CounterVec
+	heldBack     *prometheus.CounterVec
 	refusals     *prometheus.CounterVec
 	reachability *prometheus.CounterVec
 	loadReports  *prometheus.CounterVec
@@ -44,6 +45,7 @@
 		requests:     newCounterVec("requests_total", "Requests answered, by group and status; 0 is a connection that was broken or left.", "group", "status"),
 		attempts:     newCounterVec("tries_total", "Tries at upstreams, by group and how they ended.", "group", "outcome"),
 		limited:      newCounterVec("limited_tries_total", "Tries at upstreams that limit their requests, by group.", "group"),
+		heldBack:     newCounterVec("limit_held_back_total", "Tries that went elsewhere because the preferred upstream limits its requests, by group.", "group"),
 		refusals:     newCounterVec("refusals_total", "Requests refused as not run, by cause.", "cause"),
 		reachability: newCounterVec("directory_reads_total", "Times that a directory of the platform came in or out of reach.", "directory", "result"),
 		loadReports:  newCounterVec("load_reports_total", "Load reports that were asked for, by result.", "result"),
@@ -60,7 +62,7 @@
 			Namespace: namespace, Name: "upstreams", Help: "Upstreams known, by state.",
 		}, []string{"state"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.limited, m.refusals, m.reachability, m.loadReports, m.peerMessages, m.peerBytes, m.responses, m.connections, m.version, m.upstreams,
+	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.limited, m.heldBack, m.refusals, m.reachability, m.loadReports, m.peerMessages, m.peerBytes, m.responses, m.connections, m.version, m.upstreams,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -89,6 +91,9 @@
 // LimitedAttempt counts an attempt at an upstream that limits its requests.
 func (m *Metrics) LimitedAttempt(group string) { m.limited.WithLabelValues(group).Inc() }
 
+// LimitHeldBack counts an attempt that went to another upstream because of the request limit of the preferred one.
+func (m *Metrics) LimitHeldBack(group string) { m.heldBack.WithLabelValues(group).Inc() }
+
 // Refused counts a request that no upstream ran, by the cause of its refusal.
 func (m *Metrics) Refused(cause string) { m.refusals.WithLabelValues(cause).Inc() }
 
--- a/io/peers/cvnews/cvnews.go
+++ b/io/peers/cvnews/cvnews.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
@@ -18,6 +20,7 @@
 	"comfreyvale"
 	"comfreyvale/core/cvfault"
 	"comfreyvale/core/cvpeertable"
+	"comfreyvale/core/cvshares"
 	"comfreyvale/core/cvturns"
 	"comfreyvale/core/cvwire"
 )
@@ -41,6 +44,11 @@
 	maxMembers       = 24
 	maxDigestEntries = 120
 	maxDatagramBytes = 16 << 10
+	// settleTime is how long after its start a balancer owns no share of limited requests: until it has heard of all
+	// others, through full-state messages and those of other data centres.
+	settleTime = 4 * membersInterval
+	// assumedBalancers is how many other balancers one counts that has never heard of any, though there are addresses.
+	assumedBalancers = 11
 )
 
 // The purposes of messages, for metrics.
@@ -76,8 +84,9 @@
 	// FillDigest adds what other data centres must know of the upstreams, as far as it has changed within the given time;
 	// if inUse is set, also the state of those that this data centre's balancers use.
 	FillDigest func(now time.Time, message *cvwire.News, within time.Duration, inUse bool)
-	// OnMessage is called with each message that is not older than an earlier one from the same balancer.
-	OnMessage func(now time.Time, message *cvwire.News)
+	// OnMessage is called with each message that is not older than an earlier one from the same balancer, and with that
+	// balancer's address.
+	OnMessage func(now time.Time, from string, message *cvwire.News)
 	// OnSent is called with the purpose and the size of each datagram.
 	OnSent func(purpose string, bytes int)
 	// Logger logs errors, and when another balancer becomes available or unavailable.
@@ -94,6 +103,11 @@
 	// nearTurns are the turns at upstreams of this data centre, remoteTurns those at others.
 	nearTurns, remoteTurns atomic.Pointer[cvturns.Turns]
 	lastSlot               int64
+	// shares divide the periods in which upstreams take limited requests among all balancers.
+	shares    atomic.Pointer[cvshares.Shares]
+	startedAt time.Time
+	// settled reports that the shares have been set with others heard of, or alone. Only sendLoop uses it.
+	settled bool
 }
 
 // MayTakeFreeSlot reports whether it is this balancer's turn to take one of an upstream's free slots; near is set for
@@ -106,6 +120,12 @@
 	return turns == nil || turns.MayTake(now, upstream, free)
 }
 
+// OwnsPeriod reports whether a period in which an upstream takes limited requests belongs to this balancer.
+func (n *News) OwnsPeriod(upstream string, period int64) bool {
+	shares := n.shares.Load()
+	return shares != nil && shares.Owns(xxhash.Sum64String(upstream), period)
+}
+
 // Run sends and receives messages until the context ends.
 func (n *News) Run(ctx context.Context) error {
 	conn, err := net.ListenPacket("udp4", n.Address)
@@ -115,6 +135,7 @@
 	n.conn = conn
 	n.mu.Lock()
 	n.process = rand.Uint64()
+	n.startedAt = time.Now()
 	n.available = make(map[string]bool)
 	n.peers = cvpeertable.Table{Self: n.Address, DataCentre: n.DataCentre, DataCentres: n.DataCentres}
 	n.mu.Unlock()
@@ -248,7 +269,8 @@
 	n.FillUpstreams(now, state, true)
 	n.sendWithPeers(now, purposeState, receivers, n.DataCentre, state, false)
 	n.sendWithPeers(now, purposeDiscovery, silent, n.DataCentre, state, true)
-	state.Upstreams, state.InFlight, state.AgeMs, state.Busy, state.Slowness, state.SlownessAgeMs = nil, nil, nil, nil, nil, nil
+	n.setShares(now, state)
+	state.Upstreams, state.InFlight, state.AgeMs, state.Busy, state.Slowness, state.SlownessAgeMs, state.Limits = nil, nil, nil, nil, nil, nil, nil
 	for dataCentre, targets := range replies {
 		n.sendWithPeers(now, purposeDiscovery, targets, dataCentre, state, false)
 	}
@@ -264,6 +286,31 @@
 	n.remoteTurns.Store(&remote)
 }
 
+// setShares sets the shares of the periods in which upstreams take limited requests, by the state that was sent last.
+// A balancer that hears of none of the others keeps its last shares, as the others go on by the same; without any it
+// assumes others.
+func (n *News) setShares(now time.Time, state *cvwire.News) {
+	n.mu.Lock()
+	demands, isolated := n.peers.Demands(now)
+	n.mu.Unlock()
+	demand := float64(state.GetDemand())
+	shares := cvshares.New(n.Address, demand, demands)
+	switch {
+	case state.GetStopping() || now.Sub(n.startedAt) < settleTime:
+		shares = cvshares.None()
+	case isolated && n.settled:
+		return
+	case isolated:
+		for b := range assumedBalancers {
+			demands[fmt.Sprint("assumed balancer ", b)] = demand
+		}
+		shares = cvshares.New(n.Address, demand, demands)
+	default:
+		n.settled = true
+	}
+	n.shares.Store(&shares)
+}
+
 // sendWithPeers sends a full-state message with addresses for receivers in a data centre.
 func (n *News) sendWithPeers(now time.Time, purpose string, targets []string, dataCentre string, state *cvwire.News, wantsReply bool) {
 	if len(targets) == 0 {
@@ -376,7 +423,7 @@
 	}
 	n.mu.Unlock()
 	if fresh {
-		n.OnMessage(now, message)
+		n.OnMessage(now, from, message)
 	}
 	if len(receivers) > 0 {
 		message.Relayed = true
--- a/io/peers/cvnews/cvnews_test.go
+++ b/io/peers/cvnews/cvnews_test.go
@@ -49,7 +49,7 @@
 	message.Upstreams, message.InFlight, message.AgeMs, message.Busy, message.Slowness, message.SlownessAgeMs = one, one, one, one, one, one
 }
 
-func (b *balancer) receive(_ time.Time, message *cvwire.News) {
+func (b *balancer) receive(_ time.Time, _ string, message *cvwire.News) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for i, u := range message.GetUpstreams() {
@@ -136,6 +136,33 @@
 	}
 }
 
+// TestPeriodsHaveOneOwner guards against balancers that each think they may send an upstream its limited requests: of
+// balancers that have met, exactly one owns a period.
+func TestPeriodsHaveOneOwner(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	const count, periods = 5, 200
+	all := start(t, count)
+	defer stopAll(t, all)
+	owned := make(map[*balancer]int)
+	require.Eventually(t, func() bool {
+		clear(owned)
+		for period := range int64(periods) {
+			owners := 0
+			for _, b := range all {
+				if b.news.OwnsPeriod("u", period) {
+					owned[b]++
+					owners++
+				}
+			}
+			if owners != 1 {
+				return false
+			}
+		}
+		return true
+	}, 30*time.Second, 20*time.Millisecond)
+	require.Len(t, owned, count)
+}
+
 // TestMessagesBetweenDataCentres guards against attempts that count twice, once in a message of their balancer and once
 // in the digest of its data centre: of another data centre, digests alone are passed on, also while balancers meet.
 func TestMessagesBetweenDataCentres(t *testing.T) {
--- a/io/peers/cvnews/digests.go
+++ b/io/peers/cvnews/digests.go
@@ -52,6 +52,7 @@
 		n.send(purposeDigest, receivers, &cvwire.News{
 			DigestOf: n.DataCentre, Suspects: all.GetSuspects(), Upstreams: all.GetUpstreams()[from:to], InFlight: all.GetInFlight()[from:to],
 			AgeMs: all.GetAgeMs()[from:to], Busy: all.GetBusy()[from:to], Slowness: all.GetSlowness()[from:to], SlownessAgeMs: all.GetSlownessAgeMs()[from:to],
+			Limits: all.GetLimits()[min(from, len(all.GetLimits())):min(to, len(all.GetLimits()))],
 		})
 	}
 }
@@ -63,7 +64,7 @@
 	n.mu.Lock()
 	members := append([]*cvwire.BalancerState{{
 		Address: n.Address, Version: own.GetVersion(), Stopping: own.GetStopping(), DirectoryAway: own.GetDirectoryAway(), Unreadable: own.GetUnreadable(),
-		Reading: own.GetReading(), ReadAgeMs: own.GetReadAgeMs(), RoutesNext: own.GetRoutesNext(), UpstreamsNext: own.GetUpstreamsNext(),
+		Reading: own.GetReading(), ReadAgeMs: own.GetReadAgeMs(), RoutesNext: own.GetRoutesNext(), UpstreamsNext: own.GetUpstreamsNext(), Demand: own.GetDemand(),
 	}}, n.peers.Members(now)...)
 	n.mu.Unlock()
 	for part := range slices.Chunk(members, maxMembers) {
--- a/io/upstreams/cvslots/cvslots.go
+++ b/io/upstreams/cvslots/cvslots.go
@@ -42,6 +42,8 @@
 	// MayTakeFreeSlot reports whether this balancer may take one of the free slots of an upstream, near if it is in the
 	// same data centre, while other balancers have waiting requests too.
 	MayTakeFreeSlot func(now time.Time, id string, near bool, free int) bool
+	// OwnsPeriod reports whether a period in which an upstream takes limited requests belongs to this balancer.
+	OwnsPeriod func(id string, period int64) bool
 
 	mu        sync.Mutex
 	admission *cvadmission.Admission
@@ -66,7 +68,7 @@
 
 func (s *Slots) init() {
 	if s.admission == nil {
-		s.admission = &cvadmission.Admission{Selector: &cvselector.Selector{DataCentre: s.DataCentre, MayTakeFreeSlot: s.MayTakeFreeSlot}}
+		s.admission = &cvadmission.Admission{Selector: &cvselector.Selector{DataCentre: s.DataCentre, MayTakeFreeSlot: s.MayTakeFreeSlot, OwnsPeriod: s.OwnsPeriod}}
 		s.changed = make(map[string]struct{})
 		s.durations = make(map[string]*cvquantile.Quantile)
 		s.priorWaits = make(map[string]*cvpriorwait.Estimator)
@@ -75,7 +77,7 @@
 }
 
 // Acquire waits for a slot. The error has KindNotFound if no upstream accepts requests, KindExhausted if the request
-// cannot be answered in time, and KindTimeout if the context ends.
+// cannot be answered in time, KindLimited if that is because the upstreams limit their requests, and KindTimeout if the context ends.
 func (s *Slots) Acquire(ctx context.Context, need cvrequirements.Requirements) (*cvwaiter.Waiter, error) {
 	waiter := cvwaiter.New(time.Now(), need)
 	ready, err := s.enter(waiter)
@@ -105,6 +107,8 @@
 	case cvadmission.Granted:
 		s.markChanged(waiter.Instance().ID())
 		return nil, nil
+	case cvadmission.Limited:
+		return nil, s.limitFault(now, waiter)
 	case cvadmission.Refused:
 		return nil, fail("acquire", comfreyvale.KindExhausted, errors.Errorf("%d requests are already waiting, for an expected %s", s.admission.Len(), s.admission.ExpectedWait().Round(time.Millisecond)))
 	}
@@ -119,7 +123,10 @@
 	defer s.mu.Unlock()
 	delete(s.ready, waiter)
 	s.admission.Leave(waiter)
-	if waiter.Instance() == nil {
+	if now := time.Now(); waiter.Instance() == nil {
+		if _, _, limited := s.admission.Selector.PermitsBefore(now, now, waiter.Need()); limited {
+			return nil, s.limitFault(now, waiter)
+		}
 		return nil, fail("acquire", comfreyvale.KindExhausted, errors.Errorf("no slot became free in time; %d requests are waiting", s.admission.Len()))
 	}
 	return waiter, nil
@@ -243,7 +250,7 @@
 	if !ok {
 		return nil, false
 	}
-	waiter.Grant(now, instance)
+	waiter.Grant(now, instance, s.admission.Selector.HeldBack())
 	s.markChanged(instance.ID())
 	s.Budget.Allow(now, s.Balancers())
 	return waiter, true
--- a/io/upstreams/cvslots/news.go
+++ b/io/upstreams/cvslots/news.go
@@ -26,7 +26,7 @@
 func (s *Slots) markChanged(id string) { s.changed[id] = struct{}{} }
 
 // FillUpstreams adds the upstream states that have changed since the last message. A full message also has every
-// upstream in use by this balancer.
+// upstream in use by this balancer, and those that have lately stated a request limit to it.
 func (s *Slots) FillUpstreams(now time.Time, message *cvwire.News, full bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -35,6 +35,9 @@
 		for _, id := range s.admission.Selector.UpstreamsInUse() {
 			s.markChanged(id)
 		}
+		for _, id := range s.admission.Selector.RecentlyStated(now) {
+			s.markChanged(id)
+		}
 	}
 	for id := range s.changed {
 		s.addState(now, message, id)
@@ -46,6 +49,7 @@
 func (s *Slots) addState(now time.Time, message *cvwire.News, id string) {
 	if state, known := s.admission.Selector.OwnState(now, id); known {
 		appendState(message, id, state)
+		s.appendLimit(now, message, id)
 	}
 }
 
@@ -88,6 +92,7 @@
 	for _, id := range s.admission.Selector.Changed(now, within, inUse) {
 		if state, known := s.admission.Selector.DataCentreState(now, id); known {
 			appendState(message, id, state)
+			s.appendLimit(now, message, id)
 		}
 	}
 }
--- a/recorder.go
+++ b/recorder.go
@@ -21,6 +21,7 @@
 	CauseNoConfiguration  Cause = "noConfiguration"
 	CauseNoUpstream       Cause = "noUpstream"
 	CauseUpstreamsFull    Cause = "upstreamsFull"
+	CauseUpstreamLimit    Cause = "upstreamLimit"
 	CauseQueueFull        Cause = "queueFull"
 	CauseDeadline         Cause = "deadline"
 	CauseCallerGone       Cause = "callerGone"
