Read, log and export the era of the platform's log

Whether a directory had been restored, and which reads were of which era, could not be told from the lines: a 410 after a restoration looked like history that had expired, and a reader that went on at an old offset looked like any other. The client reads the era of each answer, 'directory was restored from an older copy' tells it, directory_era exports it. The stand-ins can be restored: offsets go back and are given out again, 410 beyond the end, the era rises. No decision uses it yet.

--- a/directory.go
+++ b/directory.go
@@ -42,11 +42,22 @@
 type Changes struct {
 	records []Change
 	next    int64
+	era     int64
 }
 
 // NewChanges returns records with the offset from which to call Follow.
 func NewChanges(records []Change, next int64) Changes { return Changes{records: records, next: next} }
 
+// WithEra returns a copy with another Era.
+func (c Changes) WithEra(era int64) Changes {
+	c.era = era
+	return c
+}
+
+// Era returns how often the platform's log had been restored from an older copy when the records were read. Offsets of
+// different eras have nothing to do with each other. It is 0 if the platform tells none.
+func (c Changes) Era() int64 { return c.era }
+
 // Records returns the records, in offset order.
 func (c Changes) Records() []Change { return c.records }
 
--- a/io/balancers/cvnode/admin.go
+++ b/io/balancers/cvnode/admin.go
@@ -38,6 +38,11 @@
 		"directory_age_seconds": {"Time since the directories were read, the one read least lately.", func() float64 {
 			return n.readAge(time.Now()).Seconds()
 		}},
+		"directory_era": {"How often the platform's log has been restored from an older copy, as last read.", func() float64 {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return float64(max(n.eras[routesDirectory], n.eras[upstreamsDirectory]))
+		}},
 		"directory_away": {"1 while the directory of upstreams cannot be read.", func() float64 {
 			n.mu.Lock()
 			defer n.mu.Unlock()
--- a/io/balancers/cvnode/build.go
+++ b/io/balancers/cvnode/build.go
@@ -33,6 +33,7 @@
 		n.Tracer = noop.NewTracerProvider().Tracer("")
 	}
 	n.groups = make(map[string]*cvslots.Slots)
+	n.eras = make(map[string]int64)
 	n.invalidLimits = make(map[string]string)
 	n.crashes = make(map[crash]time.Time)
 	n.splitCredits = make(map[string]map[string]float64)
--- a/io/balancers/cvnode/cvnode.go
+++ b/io/balancers/cvnode/cvnode.go
@@ -86,6 +86,8 @@
 	// The times at which this balancer last read the directories from the platform, and at which its last read failed;
 	// readFailedAt is zero after a successful read of either directory.
 	routesReadAt, upstreamsReadAt, readFailedAt time.Time
+	// eras holds how often each directory had been restored from an older copy when this balancer last read it.
+	eras map[string]int64
 	// The latest records of the directories, for other balancers.
 	recentRoutes, recentUpstreams recentRecords
 	// upstreamsLoaded reports whether this process has ever read the directory of upstreams.
--- a/io/balancers/cvnode/watching.go
+++ b/io/balancers/cvnode/watching.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
+
 	"comfreyvale"
 	"comfreyvale/core/cvwire"
 	"comfreyvale/io/store/cvshareddirectory"
@@ -82,6 +84,7 @@
 			return n.fetchRecords(ctx, address, name, from)
 		},
 		OnRead: func(now time.Time, err error) { n.recordRead(now, name, readAt, err) },
+		OnEra:  func(era int64) { n.recordEra(name, era) },
 	}
 }
 
@@ -105,6 +108,17 @@
 	}
 }
 
+// recordEra logs that a directory was restored from an older copy: its offsets mean other records now.
+func (n *Node) recordEra(directory string, era int64) {
+	n.mu.Lock()
+	before, known := n.eras[directory]
+	n.eras[directory] = era
+	n.mu.Unlock()
+	if known && before != era {
+		n.Logger.WithFields(log.Fields{"directory": directory, "era": era, "eraBefore": before}).Warn("directory was restored from an older copy")
+	}
+}
+
 // isReader reports whether this balancer reads the directories for its data centre.
 func (n *Node) isReader(now time.Time) bool { return !n.lastReadFailed(now) && n.news.OwnsReading(now) }
 
--- a/io/standins/cvmemdirectory/cvmemdirectory.go
+++ b/io/standins/cvmemdirectory/cvmemdirectory.go
@@ -1,4 +1,5 @@
-// Package cvmemdirectory implements a directory in memory for tests, with outages, lost history and stalled reads.
+// Package cvmemdirectory implements a directory in memory for tests, with outages, lost history, restorations
+// from an older copy and stalled reads.
 package cvmemdirectory
 
 import (
@@ -30,6 +31,7 @@
 	changed     chan struct{}
 	down        bool
 	readCount   int
+	era         int64
 }
 
 // New returns an empty directory.
@@ -82,6 +84,23 @@
 	d.notify()
 }
 
+// Restore loses the last records, as a platform does that comes back from an older copy: their offsets are given out
+// again, and the era rises by one.
+func (d *Directory) Restore(lost int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.records = d.records[:len(d.records)-lost]
+	clear(d.newest)
+	for _, c := range d.records {
+		d.newest[c.Key()] = c
+		if len(c.Value()) == 0 {
+			delete(d.newest, c.Key())
+		}
+	}
+	d.era++
+	d.notify()
+}
+
 // ReadCount returns the number of reads, failed ones included.
 func (d *Directory) ReadCount() int {
 	d.mu.Lock()
@@ -102,11 +121,11 @@
 		changes = append(changes, c)
 	}
 	slices.SortFunc(changes, func(a, b comfreyvale.Change) int { return int(a.Offset() - b.Offset()) })
-	return comfreyvale.NewChanges(changes, d.nextOffset()), nil
+	return comfreyvale.NewChanges(changes, d.nextOffset()).WithEra(d.era), nil
 }
 
 // Follow returns the records from an offset on. If there are none, it waits for up to the given time. It fails with
-// KindNotFound if the history no longer holds the offset, and with KindUnavailable during an outage or if ctx ends.
+// KindNotFound if the history does not hold the offset, and with KindUnavailable during an outage or if ctx ends.
 func (d *Directory) Follow(ctx context.Context, from int64, wait time.Duration) (comfreyvale.Changes, error) {
 	timeout := time.After(wait)
 	d.mu.Lock()
@@ -114,7 +133,7 @@
 	d.mu.Unlock()
 	for {
 		d.mu.Lock()
-		down, first, changed := d.down, d.firstOffset, d.changed
+		down, first, next, changed, era := d.down, d.firstOffset, d.nextOffset(), d.changed, d.era
 		var changes []comfreyvale.Change
 		if from >= first && from < d.nextOffset() {
 			changes = slices.Clone(d.records[from-first:])
@@ -123,15 +142,15 @@
 		switch {
 		case down:
 			return comfreyvale.Changes{}, fail(comfreyvale.KindUnavailable, "the directory is down")
-		case from < first:
-			return comfreyvale.Changes{}, fail(comfreyvale.KindNotFound, "the records at the offset were removed")
+		case from < first || from > next:
+			return comfreyvale.Changes{}, fail(comfreyvale.KindNotFound, "the directory does not hold the offset")
 		case len(changes) > 0:
-			return comfreyvale.NewChanges(changes, from+int64(len(changes))), nil
+			return comfreyvale.NewChanges(changes, from+int64(len(changes))).WithEra(era), nil
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			return comfreyvale.NewChanges(nil, from), nil
+			return comfreyvale.NewChanges(nil, from).WithEra(era), nil
 		case <-ctx.Done():
 			return comfreyvale.Changes{}, fail(comfreyvale.KindUnavailable, ctx.Err().Error())
 		}
--- a/io/store/cvshareddirectory/cvshareddirectory.go
+++ b/io/store/cvshareddirectory/cvshareddirectory.go
@@ -41,6 +41,8 @@
 	// OnRead is called after each read from the platform whose context has not ended. The error is nil if the platform
 	// answered.
 	OnRead func(now time.Time, err error)
+	// OnEra is called with the era of each successful read from the platform.
+	OnEra func(era int64)
 	// Logger logs failed fetches from other balancers, and abandoned reads.
 	Logger log.Interface
 }
@@ -48,6 +50,9 @@
 // Newest returns the newest record of each key. It always reads from the platform.
 func (d *Directory) Newest(ctx context.Context) (comfreyvale.Changes, error) {
 	changes, err := d.Source.Newest(ctx)
+	if err == nil {
+		d.OnEra(changes.Era())
+	}
 	d.reportRead(ctx, err)
 	return changes, err
 }
@@ -116,6 +121,9 @@
 	for behind := 0; ; {
 		select {
 		case r := <-results:
+			if r.err == nil {
+				d.OnEra(r.changes.Era())
+			}
 			d.reportRead(ctx, r.err)
 			return r.changes, r.err
 		case now := <-ticker.C:
--- a/io/store/cvshareddirectory/cvshareddirectory_test.go
+++ b/io/store/cvshareddirectory/cvshareddirectory_test.go
@@ -35,6 +35,7 @@
 		Fetch: func(_ context.Context, address string, from int64) (comfreyvale.Changes, error) {
 			return comfreyvale.NewChanges([]comfreyvale.Change{comfreyvale.NewChange("of", []byte(address), from)}, from+1), s.fetchErr
 		},
+		OnEra: func(int64) {},
 		OnRead: func(_ time.Time, err error) {
 			s.succeeded = append(s.succeeded, err == nil)
 		},
