Tell offsets of a restored log from those of before

What callers would see: requests at upstreams that have left, and routes that are not served. Cause: an offset was taken for the same place after the platform's log had come back from an older copy; only an end behind the offset (410) gave it away. A balancer that was cut off over the restoration read on at an offset that was another record now; balancers that take another's records compared offsets of different times, so that they waited for ones that were not there, or were handed older ones. And an upstream whose entry was lost was dropped with the first listing. Class: a name that is only valid within an era, used without it.

Change: Position is an offset of an era. The client refuses records of another era, news and relay carry eras, kept records are of one; the first listing of an era gives missing upstreams the time that they have after an outage.

--- a/core/cvfleet/cvfleet.go
+++ b/core/cvfleet/cvfleet.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	// reregisterGrace is how long after an outage of the directory an entry that lapsed during it may return. Running
+	// reregisterGrace is how long after an outage of the directory an entry that lapsed during it, or after a restoration
+	// from an older copy an entry that was lost, may return. Running
 	// upstreams report again within two seconds; the remainder is the time to read their reports.
 	reregisterGrace = 2500 * time.Millisecond
 	// minOutage is the shortest outage in which entries of running upstreams can lapse: upstreams report every 1.5
@@ -79,8 +80,9 @@
 	return true
 }
 
-// Remove applies the removal of an entry and reports whether the set changed. Within reregisterGrace after an outage of
-// the directory it keeps the instance until that time has passed, as the entry may have lapsed during the outage.
+// Remove applies the removal of an entry and reports whether the set changed. Within reregisterGrace after an outage or
+// a restoration of the directory it keeps the instance until that time has passed, as the entry may have lapsed or been
+// lost by it.
 func (f *Fleet) Remove(now time.Time, id string) bool {
 	f.init()
 	if f.present[id] == nil {
@@ -152,6 +154,10 @@
 	f.unreachableSince = time.Time{}
 }
 
+// MarkDirectoryRestored records that the directory was restored from an older copy. Entries that are missing in it may
+// have been written since, and are written again by upstreams that still run.
+func (f *Fleet) MarkDirectoryRestored(now time.Time) { f.graceStart = now }
+
 // DirectoryUnreachable reports whether the directory cannot be read.
 func (f *Fleet) DirectoryUnreachable() bool { return !f.unreachableSince.IsZero() }
 
@@ -184,5 +190,5 @@
 	return found
 }
 
-// Lapsed returns the number of instances that are kept although their entries lapsed during an outage.
+// Lapsed returns the number of instances that are kept although their entries lapsed or were lost.
 func (f *Fleet) Lapsed() int { return len(f.lapsed) }
--- a/core/cvfleet/cvfleet_test.go
+++ b/core/cvfleet/cvfleet_test.go
@@ -175,3 +175,34 @@
 		})
 	}
 }
+
+// TestGraceAfterRestoration checks what happens to an upstream whose entry is missing after the directory was restored
+// from an older copy.
+func TestGraceAfterRestoration(t *testing.T) {
+	const soon, late = 2 * time.Second, 3 * time.Second
+	cases := map[string]struct {
+		written *cvinstance.Instance
+		after   []string
+	}{
+		"not written again":         {nil, []string{}},
+		"written again":             {testInstance("a", 1, 5, false), []string{"a"}},
+		"written again, later":      {testInstance("a", 1, 6, false), []string{"a"}},
+		"the copy has an old entry": {testInstance("a", 1, 2, false), []string{"a"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := &cvfleet.Fleet{}
+			f.Put(start, testInstance("a", 1, 5, false))
+			f.MarkDirectoryRestored(start)
+			f.Replace(start, nil)
+			require.Equal(t, 1, f.Lapsed())
+			require.Equal(t, []string{"a"}, instanceIDs(f))
+			if c.written != nil {
+				f.Put(start.Add(soon), c.written)
+			}
+			require.False(t, f.Expire(start.Add(soon)))
+			require.Equal(t, c.written == nil, f.Expire(start.Add(late)))
+			require.Equal(t, c.after, instanceIDs(f))
+		})
+	}
+}
--- a/core/cvpeertable/cvpeertable.go
+++ b/core/cvpeertable/cvpeertable.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"comfreyvale"
 	"comfreyvale/core/cvhash"
 	"comfreyvale/core/cvwire"
 )
@@ -65,10 +66,10 @@
 	// readsForOthers reports that the balancer has the task of reading the directories for its data centre.
 	readsForOthers bool
 	// readAt is when the balancer last read the directories, the earlier time if they differ; routesNext and
-	// upstreamsNext are the offsets of the next records to read.
+	// upstreamsNext are the positions of the next records to read.
 	readAt        time.Time
-	routesNext    int64
-	upstreamsNext int64
+	routesNext    comfreyvale.Position
+	upstreamsNext comfreyvale.Position
 	// demand is the rate of the balancer's requests, in requests a second.
 	demand float32
 	// receivedAt is when the last message from or about the balancer arrived, sentAt when AddressesToRetry last returned
@@ -116,7 +117,8 @@
 	found.dataCentre, found.version, found.stopping = message.GetDataCentre(), message.GetVersion(), message.GetStopping()
 	found.directoryAway, found.unreadable, found.readsForOthers = message.GetDirectoryAway(), message.GetUnreadable(), message.GetReading()
 	found.readAt = now.Add(-time.Duration(message.GetReadAgeMs()) * time.Millisecond)
-	found.routesNext, found.upstreamsNext = message.GetRoutesNext(), message.GetUpstreamsNext()
+	found.routesNext = comfreyvale.NewPosition(message.GetRoutesEra(), message.GetRoutesNext())
+	found.upstreamsNext = comfreyvale.NewPosition(message.GetUpstreamsEra(), message.GetUpstreamsNext())
 	found.demand = message.GetDemand()
 	if message.GetWantsReply() && t.remote(found) {
 		found.wantsReply, t.replyDue = true, true
--- a/core/cvpeertable/cvpeertable_test.go
+++ b/core/cvpeertable/cvpeertable_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"comfreyvale"
 	"comfreyvale/core/cvpeertable"
 	"comfreyvale/core/cvwire"
 )
@@ -134,19 +135,19 @@
 // whether any reads the directories for others.
 func TestAhead(t *testing.T) {
 	table := &cvpeertable.Table{Self: "a", DataCentre: "x"}
-	_, _, readByPeer := table.Ahead(start, time.Second, 0, 0)
+	_, _, readByPeer := table.Ahead(start, time.Second, offset(0), offset(0))
 	require.False(t, readByPeer)
 	receive(table, start, "b", 1, &cvwire.News{DataCentre: "y", Reading: true, RoutesNext: 9, UpstreamsNext: 7})
 	receive(table, start, "c", 1, &cvwire.News{DataCentre: "x", Reading: true, RoutesNext: 9, UpstreamsNext: 4})
 	receive(table, start, "d", 1, &cvwire.News{DataCentre: "x", Reading: true, ReadAgeMs: 60_000, RoutesNext: 20, UpstreamsNext: 20})
-	routes, upstreams, readByPeer := table.Ahead(start, time.Second, 8, 4)
+	routes, upstreams, readByPeer := table.Ahead(start, time.Second, offset(8), offset(4))
 	require.True(t, readByPeer)
 	require.Equal(t, "c", routes, "a balancer of this data centre is preferred")
 	require.Equal(t, "b", upstreams, "the only balancer with a higher offset and a recent read")
-	routes, _, readByPeer = table.Ahead(start, time.Second, 9, 7)
+	routes, _, readByPeer = table.Ahead(start, time.Second, offset(9), offset(7))
 	require.True(t, readByPeer)
 	require.Empty(t, routes)
-	_, _, readByPeer = table.Ahead(start.Add(1500*time.Millisecond), time.Second, 0, 0)
+	_, _, readByPeer = table.Ahead(start.Add(1500*time.Millisecond), time.Second, offset(0), offset(0))
 	require.False(t, readByPeer)
 }
 
@@ -175,7 +176,7 @@
 func TestReadByPeer(t *testing.T) {
 	table := &cvpeertable.Table{Self: "a", DataCentre: "x"}
 	readByPeer := func(now time.Time) bool {
-		_, _, readByPeer := table.Ahead(now, time.Minute, 0, 0)
+		_, _, readByPeer := table.Ahead(now, time.Minute, offset(0), offset(0))
 		return readByPeer
 	}
 	receive(table, start, "b", 1, &cvwire.News{DataCentre: "x"})
@@ -221,7 +222,7 @@
 	address, version := here.NewestVersion(now)
 	require.Equal(t, "b2", address)
 	require.Equal(t, int64(7), version)
-	routes, upstreams, readByPeer := here.Ahead(now, time.Second, 2, 3)
+	routes, upstreams, readByPeer := here.Ahead(now, time.Second, offset(2), offset(3))
 	require.Equal(t, "b2", routes)
 	require.Equal(t, "b2", upstreams)
 	require.True(t, readByPeer)
@@ -377,3 +378,38 @@
 		})
 	}
 }
+
+func offset(n int64) comfreyvale.Position { return comfreyvale.NewPosition(0, n) }
+
+// TestAheadAcrossEras guards against a balancer that follows one which stands at a higher offset, but of a time before
+// the directory was restored from an older copy.
+func TestAheadAcrossEras(t *testing.T) {
+	cases := map[string]struct {
+		era, next int64
+		from      comfreyvale.Position
+		ahead     bool
+	}{
+		"same era, further":       {2, 9, comfreyvale.NewPosition(2, 8), true},
+		"same era, as far":        {2, 9, comfreyvale.NewPosition(2, 9), false},
+		"earlier era, further":    {1, 99, comfreyvale.NewPosition(2, 8), false},
+		"later era, lower offset": {2, 3, comfreyvale.NewPosition(1, 99), true},
+	}
+	for name, c := range cases {
+		for place, dataCentre := range map[string]string{"near": "x", "told by others": "y"} {
+			t.Run(name+", "+place, func(t *testing.T) {
+				here := &cvpeertable.Table{Self: "a", DataCentre: "x"}
+				if dataCentre == here.DataCentre {
+					receive(here, start, "b", 1, &cvwire.News{DataCentre: dataCentre, Reading: true, RoutesNext: c.next, UpstreamsNext: c.next, RoutesEra: c.era, UpstreamsEra: c.era})
+				} else {
+					there := &cvpeertable.Table{Self: "c", DataCentre: dataCentre}
+					receive(there, start, "b", 1, &cvwire.News{DataCentre: dataCentre, Reading: true, RoutesNext: c.next, UpstreamsNext: c.next, RoutesEra: c.era, UpstreamsEra: c.era})
+					here.RecordMembers(start, dataCentre, there.Members(start))
+				}
+				routes, upstreams, readByPeer := here.Ahead(start, time.Second, c.from, c.from)
+				require.True(t, readByPeer)
+				require.Equal(t, c.ahead, routes == "b")
+				require.Equal(t, c.ahead, upstreams == "b")
+			})
+		}
+	}
+}
--- a/core/cvpeertable/directories.go
+++ b/core/cvpeertable/directories.go
@@ -1,6 +1,10 @@
 package cvpeertable
 
-import "time"
+import (
+	"time"
+
+	"comfreyvale"
+)
 
 // DirectorySource returns the address of a live balancer, preferably of this data centre, that has a configuration and
 // can read the directory of upstreams, or an empty string.
@@ -23,20 +27,20 @@
 	return t.owns(now, readTask, func(p *peer) bool { return !p.unreadable })
 }
 
-// Ahead returns balancers that have read the routes and the upstreams beyond the given offsets, preferably of this data
+// Ahead returns balancers that have read the routes and the upstreams beyond the given positions, preferably of this data
 // centre, or empty strings. It considers only live balancers that are not stopping and whose last read is younger than
-// within. readByPeer reports whether one of these, whatever its offsets, reads for others and sent a message within
+// within. readByPeer reports whether one of these, whatever its positions, reads for others and sent a message within
 // readerTimeout.
-func (t *Table) Ahead(now time.Time, within time.Duration, routes, upstreams int64) (ofRoutes, ofUpstreams string, readByPeer bool) {
+func (t *Table) Ahead(now time.Time, within time.Duration, routes, upstreams comfreyvale.Position) (ofRoutes, ofUpstreams string, readByPeer bool) {
 	for a, p := range t.peers {
 		if !t.isLive(now, p) || p.stopping || now.Sub(p.readAt) >= within {
 			continue
 		}
 		readByPeer = readByPeer || p.readsForOthers && now.Sub(p.receivedAt) < readerTimeout
-		if p.routesNext > routes && t.preferred(a, ofRoutes) {
+		if routes.Before(p.routesNext) && t.preferred(a, ofRoutes) {
 			ofRoutes = a
 		}
-		if p.upstreamsNext > upstreams && t.preferred(a, ofUpstreams) {
+		if upstreams.Before(p.upstreamsNext) && t.preferred(a, ofUpstreams) {
 			ofUpstreams = a
 		}
 	}
--- a/core/cvpeertable/members.go
+++ b/core/cvpeertable/members.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"comfreyvale"
 	"comfreyvale/core/cvwire"
 )
 
@@ -14,8 +15,8 @@
 		found = append(found, &cvwire.BalancerState{
 			Address: address, AgeMs: uint32(now.Sub(p.receivedAt).Milliseconds()), Version: p.version, Stopping: p.stopping,
 			DirectoryAway: p.directoryAway, Unreadable: p.unreadable, Reading: p.readsForOthers,
-			ReadAgeMs: uint32(min(now.Sub(p.readAt), time.Hour).Milliseconds()), RoutesNext: p.routesNext, UpstreamsNext: p.upstreamsNext,
-			Demand: p.demand,
+			ReadAgeMs: uint32(min(now.Sub(p.readAt), time.Hour).Milliseconds()), RoutesNext: p.routesNext.Offset(), UpstreamsNext: p.upstreamsNext.Offset(),
+			RoutesEra: p.routesNext.Era(), UpstreamsEra: p.upstreamsNext.Era(), Demand: p.demand,
 		})
 	}
 	return found
@@ -42,7 +43,8 @@
 		p.directoryAway, p.unreadable, p.readsForOthers = m.GetDirectoryAway(), m.GetUnreadable(), m.GetReading()
 		p.readAt = now.Add(-time.Duration(m.GetReadAgeMs()) * time.Millisecond)
 		p.demand = m.GetDemand()
-		p.routesNext, p.upstreamsNext = m.GetRoutesNext(), m.GetUpstreamsNext()
+		p.routesNext = comfreyvale.NewPosition(m.GetRoutesEra(), m.GetRoutesNext())
+		p.upstreamsNext = comfreyvale.NewPosition(m.GetUpstreamsEra(), m.GetUpstreamsNext())
 	}
 }
 
--- a/directory.go
+++ b/directory.go
@@ -7,16 +7,46 @@
 
 // Directory is a compacted topic of the platform's log: it keeps the newest record of each key.
 type Directory interface {
-	// Newest returns the newest record of each key, and the offset from which to call Follow.
+	// Newest returns the newest record of each key, and the position from which to call Follow.
 	Newest(ctx context.Context) (Changes, error)
-	// Follow returns the records from an offset on. If there are none yet, it waits for the first one up to the given
-	// time. An error of KindNotFound means that the topic no longer keeps all records from that offset on, or that it
-	// ends before the offset.
-	Follow(ctx context.Context, from int64, wait time.Duration) (Changes, error)
+	// Follow returns the records from a position on. If there are none yet, it waits for the first one up to the given
+	// time. An error of KindNotFound means that the topic no longer keeps all records from that position on, that it ends
+	// before the position, or that it was restored from an older copy since.
+	Follow(ctx context.Context, from Position, wait time.Duration) (Changes, error)
 	// String returns the name of the topic.
 	String() string
 }
 
+// Position is a place in a topic of the platform's log. The log can be restored from an older copy: it then begins
+// another era, in which it gives offsets out again for other records. It is immutable.
+type Position struct {
+	era    int64
+	offset int64
+}
+
+// NewPosition returns the position before the record at an offset of an era. An era is 0 if the platform tells none.
+func NewPosition(era, offset int64) Position { return Position{era: era, offset: offset} }
+
+// Era returns how often the log had been restored.
+func (p Position) Era() int64 { return p.era }
+
+// Offset returns the offset of the next record.
+func (p Position) Offset() int64 { return p.offset }
+
+// Plus returns the position a number of records further on.
+func (p Position) Plus(records int) Position {
+	return Position{era: p.era, offset: p.offset + int64(records)}
+}
+
+// Before reports whether a reader at this position knows less of the log than one at another: an earlier era counts as
+// before any position of a later one.
+func (p Position) Before(other Position) bool {
+	if p.era != other.era {
+		return p.era < other.era
+	}
+	return p.offset < other.offset
+}
+
 // Change is one record of a directory, which sets or removes the value of a key.
 type Change struct {
 	key    string
@@ -41,25 +71,16 @@
 // Changes is the result of one read of a directory.
 type Changes struct {
 	records []Change
-	next    int64
-	era     int64
+	next    Position
 }
 
-// NewChanges returns records with the offset from which to call Follow.
-func NewChanges(records []Change, next int64) Changes { return Changes{records: records, next: next} }
-
-// WithEra returns a copy with another Era.
-func (c Changes) WithEra(era int64) Changes {
-	c.era = era
-	return c
+// NewChanges returns records with the position from which to call Follow.
+func NewChanges(records []Change, next Position) Changes {
+	return Changes{records: records, next: next}
 }
 
-// Era returns how often the platform's log had been restored from an older copy when the records were read. Offsets of
-// different eras have nothing to do with each other. It is 0 if the platform tells none.
-func (c Changes) Era() int64 { return c.era }
-
 // Records returns the records, in offset order.
 func (c Changes) Records() []Change { return c.records }
 
-// Next returns the offset from which to call Follow.
-func (c Changes) Next() int64 { return c.next }
+// Next returns the position from which to call Follow.
+func (c Changes) Next() Position { return c.next }
--- a/io/balancers/cvnode/cvnode_test.go
+++ b/io/balancers/cvnode/cvnode_test.go
@@ -297,7 +297,7 @@
 	return comfreyvale.Changes{}, ctx.Err()
 }
 
-func (h hangingDirectory) Follow(ctx context.Context, _ int64, _ time.Duration) (comfreyvale.Changes, error) {
+func (h hangingDirectory) Follow(ctx context.Context, _ comfreyvale.Position, _ time.Duration) (comfreyvale.Changes, error) {
 	return h.Newest(ctx)
 }
 
--- a/io/balancers/cvnode/directories.go
+++ b/io/balancers/cvnode/directories.go
@@ -28,7 +28,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.recentRoutes.add(changes.Records(), full, changes.Next())
+	n.recentRoutes.add(changes, full)
 }
 
 // applyRoutes applies a configuration if it is newer than the current one.
@@ -71,13 +71,16 @@
 func (n *Node) upstreamsChanged(now time.Time, full bool, changes comfreyvale.Changes) {
 	n.mu.Lock()
 	changed := false
+	if n.upstreamsLoaded && n.recentUpstreams.next().Era() < changes.Next().Era() {
+		n.fleet.MarkDirectoryRestored(now)
+	}
 	n.upstreamsLoaded = true
 	if full {
 		changed = n.fleet.Replace(now, n.parseInstances(changes.Records()))
 	} else {
 		changed = n.applyInstanceChanges(now, changes.Records())
 	}
-	n.recentUpstreams.add(changes.Records(), full, changes.Next())
+	n.recentUpstreams.add(changes, full)
 	n.mu.Unlock()
 	if changed {
 		n.updateGroups(now)
--- a/io/balancers/cvnode/restored_test.go
+++ b/io/balancers/cvnode/restored_test.go
@@ -1,6 +1,7 @@
 package cvnode_test
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"testing"
@@ -113,3 +114,33 @@
 	n.awaitChange(t, "removed", "gone")
 	require.False(t, n.loggedChange("removed", "b"))
 }
+
+// TestNewerFactsAreLost guards against a balancer that goes back to what an older copy of the directories says: an older
+// configuration, or an upstream that has left since. It is restored twice.
+func TestNewerFactsAreLost(t *testing.T) {
+	d, _, n := startServing(t, idempotentRoute("g"))
+	d.startUpstream("b", "g")
+	n.awaitChange(t, "added", "b")
+	for restorations := range int64(2) {
+		d.putUpstream("b", "g", true, 2)
+		d.upstreamsDirectory.Put("b", nil)
+		d.publish(2, idempotentRoute("g"), nonIdempotentRoute("g"))
+		n.awaitStatus(t, "/once/x", http.StatusOK)
+		n.awaitChange(t, "removed", "b")
+		d.routesDirectory.Restore(1)
+		d.upstreamsDirectory.Restore(2)
+		require.Eventually(t, func() bool {
+			return len(n.logs.withMessage("directory was restored from an older copy")) == int(2*(restorations+1))
+		}, 15*time.Second, time.Millisecond)
+		require.Eventually(t, func() bool {
+			return n.logs.count("ignored a configuration that is not newer than the one in force") > int(restorations)
+		}, 15*time.Second, time.Millisecond)
+		response, _ := n.request(t, http.MethodGet, "/once/x", fmt.Sprint("after-", restorations), 1000)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+	added := slices.DeleteFunc(n.logs.withMessage("upstreams changed"), func(f log.Fields) bool {
+		ids, _ := f["added"].([]string)
+		return !slices.Contains(ids, "b")
+	})
+	require.Len(t, added, 1, "an upstream that had left was used again")
+}
--- a/io/balancers/cvnode/watching.go
+++ b/io/balancers/cvnode/watching.go
@@ -28,43 +28,43 @@
 	upstreamsDirectory = "upstreams"
 )
 
-// recentRecords holds the latest records of a directory, at consecutive offsets.
+// recentRecords holds the latest records of a directory, at consecutive offsets of one era.
 type recentRecords struct {
-	firstOffset int64
-	records     []comfreyvale.Change
-	bytes       int
+	first   comfreyvale.Position
+	records []comfreyvale.Change
+	bytes   int
 }
 
 // add appends records and drops the oldest above the limits. If the records don't follow the kept ones, add drops the
 // kept ones first. If full is set, the records are the complete directory: add then keeps none and expects the next
-// record at offset next.
-func (r *recentRecords) add(changes []comfreyvale.Change, full bool, next int64) {
-	if full || len(changes) > 0 && changes[0].Offset() != r.nextOffset() {
-		*r = recentRecords{firstOffset: next}
-		if full {
-			return
-		}
-		r.firstOffset = changes[0].Offset()
+// record after them.
+func (r *recentRecords) add(changes comfreyvale.Changes, full bool) {
+	if full {
+		*r = recentRecords{first: changes.Next()}
+		return
 	}
-	for _, c := range changes {
+	if first := changes.Next().Plus(-len(changes.Records())); first != r.next() {
+		*r = recentRecords{first: first}
+	}
+	for _, c := range changes.Records() {
 		r.records = append(r.records, c)
 		r.bytes += len(c.Value())
 	}
 	for len(r.records) > maxRecentRecords || r.bytes > maxRecentBytes {
 		r.bytes -= len(r.records[0].Value())
 		r.records = r.records[1:]
-		r.firstOffset++
+		r.first = r.first.Plus(1)
 	}
 }
 
-func (r *recentRecords) nextOffset() int64 { return r.firstOffset + int64(len(r.records)) }
+func (r *recentRecords) next() comfreyvale.Position { return r.first.Plus(len(r.records)) }
 
-// from returns the records from an offset on, or false if they are not all kept.
-func (r *recentRecords) from(offset int64) ([]comfreyvale.Change, bool) {
-	if offset < r.firstOffset || offset > r.nextOffset() {
+// from returns the records from a position on, or false if they are not all kept.
+func (r *recentRecords) from(position comfreyvale.Position) ([]comfreyvale.Change, bool) {
+	if position.Era() != r.first.Era() || position.Before(r.first) || r.next().Before(position) {
 		return nil, false
 	}
-	return r.records[offset-r.firstOffset:], true
+	return r.records[position.Offset()-r.first.Offset():], true
 }
 
 // sharedDirectory returns a directory that one balancer of each data centre reads on behalf of the others.
@@ -73,14 +73,14 @@
 	return &cvshareddirectory.Directory{
 		Source: source, Logger: n.Logger,
 		IsReader: n.isReader,
-		Ahead: func(now time.Time, from int64) (string, bool) {
+		Ahead: func(now time.Time, from comfreyvale.Position) (string, bool) {
 			routes, upstreams, covered := n.news.Ahead(now, maxAge, from, from)
 			if name == routesDirectory {
 				return routes, covered
 			}
 			return upstreams, covered
 		},
-		Fetch: func(ctx context.Context, address string, from int64) (comfreyvale.Changes, error) {
+		Fetch: func(ctx context.Context, address string, from comfreyvale.Position) (comfreyvale.Changes, error) {
 			return n.fetchRecords(ctx, address, name, from)
 		},
 		OnRead: func(now time.Time, err error) { n.recordRead(now, name, readAt, err) },
@@ -129,7 +129,7 @@
 	return now.Sub(n.readFailedAt) < readRetryDelay
 }
 
-func (n *Node) fetchRecords(ctx context.Context, address, directory string, from int64) (comfreyvale.Changes, error) {
+func (n *Node) fetchRecords(ctx context.Context, address, directory string, from comfreyvale.Position) (comfreyvale.Changes, error) {
 	peer, err := n.relayAddress(address)
 	if err != nil {
 		return comfreyvale.Changes{}, err
@@ -140,13 +140,13 @@
 	}
 	changes := make([]comfreyvale.Change, 0, len(found.GetRecords()))
 	for _, r := range found.GetRecords() {
-		changes = append(changes, comfreyvale.NewChange(r.GetKey(), r.GetValue(), from+int64(len(changes))))
+		changes = append(changes, comfreyvale.NewChange(r.GetKey(), r.GetValue(), from.Plus(len(changes)).Offset()))
 	}
-	return comfreyvale.NewChanges(changes, from+int64(len(changes))), nil
+	return comfreyvale.NewChanges(changes, from.Plus(len(changes))), nil
 }
 
-// records returns the records that this balancer keeps from an offset on.
-func (n *Node) records(directory string, from int64) *cvwire.DirectoryRecords {
+// records returns the records that this balancer keeps from a position on.
+func (n *Node) records(directory string, from comfreyvale.Position) *cvwire.DirectoryRecords {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	recent := &n.recentUpstreams
@@ -167,7 +167,9 @@
 	message.Unreadable, message.Reading = n.lastReadFailed(now), n.isReader(now)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	message.RoutesNext, message.UpstreamsNext = n.recentRoutes.nextOffset(), n.recentUpstreams.nextOffset()
+	routes, upstreams := n.recentRoutes.next(), n.recentUpstreams.next()
+	message.RoutesNext, message.UpstreamsNext = routes.Offset(), upstreams.Offset()
+	message.RoutesEra, message.UpstreamsEra = routes.Era(), upstreams.Era()
 	message.ReadAgeMs = uint32(age.Milliseconds())
 }
 
--- a/io/peers/cvnews/cvnews.go
+++ b/io/peers/cvnews/cvnews.go
@@ -189,9 +189,9 @@
 }
 
 // Ahead returns the addresses of a balancer that has read the routes, and of one that has read the upstreams, beyond
-// the given offsets, or "". readByPeer is true if another balancer that is assigned to read the directories has done so
+// the given positions, or "". readByPeer is true if another balancer that is assigned to read the directories has done so
 // within the given time.
-func (n *News) Ahead(now time.Time, within time.Duration, routes, upstreams int64) (ofRoutes, ofUpstreams string, readByPeer bool) {
+func (n *News) Ahead(now time.Time, within time.Duration, routes, upstreams comfreyvale.Position) (ofRoutes, ofUpstreams string, readByPeer bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.peers.Ahead(now, within, routes, upstreams)
--- a/io/peers/cvnews/digests.go
+++ b/io/peers/cvnews/digests.go
@@ -65,6 +65,7 @@
 	members := append([]*cvwire.BalancerState{{
 		Address: n.Address, Version: own.GetVersion(), Stopping: own.GetStopping(), DirectoryAway: own.GetDirectoryAway(), Unreadable: own.GetUnreadable(),
 		Reading: own.GetReading(), ReadAgeMs: own.GetReadAgeMs(), RoutesNext: own.GetRoutesNext(), UpstreamsNext: own.GetUpstreamsNext(), Demand: own.GetDemand(),
+		RoutesEra: own.GetRoutesEra(), UpstreamsEra: own.GetUpstreamsEra(),
 	}}, n.peers.Members(now)...)
 	n.mu.Unlock()
 	for part := range slices.Chunk(members, maxMembers) {
--- a/io/peers/cvrelay/cvrelay.go
+++ b/io/peers/cvrelay/cvrelay.go
@@ -38,8 +38,8 @@
 type Relay struct {
 	// Snapshot returns this balancer's snapshot for a requester whose configuration has version have.
 	Snapshot func(have int64) *cvwire.Snapshot
-	// Records returns the records of a directory, from an offset on, that this balancer keeps.
-	Records func(directory string, from int64) *cvwire.DirectoryRecords
+	// Records returns the records of a directory, from a position on, that this balancer keeps.
+	Records func(directory string, from comfreyvale.Position) *cvwire.DirectoryRecords
 }
 
 // ServeHTTP handles another balancer's request.
@@ -52,9 +52,10 @@
 		have, _ := strconv.ParseInt(values.Get("have"), 10, 64)
 		message = r.Snapshot(have)
 	case recordsPath:
-		// An offset that cannot be parsed counts as 0, for which no records are kept.
+		// An offset that cannot be parsed counts as 0, for which no records are kept. Older balancers send no era.
 		from, _ := strconv.ParseInt(values.Get("from"), 10, 64)
-		message = r.Records(values.Get("directory"), from)
+		era, _ := strconv.ParseInt(values.Get("era"), 10, 64)
+		message = r.Records(values.Get("directory"), comfreyvale.NewPosition(era, from))
 	default:
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -76,6 +77,7 @@
 type recordsQuery struct {
 	Directory string `url:"directory"`
 	From      int64  `url:"from"`
+	Era       int64  `url:"era"`
 }
 
 // FetchSnapshot fetches a snapshot from the balancer at an address of the form host:port. have is the version of this
@@ -85,15 +87,15 @@
 	return snapshot, get(ctx, address, snapshotPath, snapshotQuery{Have: have}, snapshot)
 }
 
-// FetchRecords fetches the records of a directory, from an offset on, from the balancer at an address of the form
+// FetchRecords fetches the records of a directory, from a position on, from the balancer at an address of the form
 // host:port. The error has KindNotFound if that balancer does not keep them.
-func (r *Relay) FetchRecords(ctx context.Context, address, directory string, from int64) (*cvwire.DirectoryRecords, error) {
+func (r *Relay) FetchRecords(ctx context.Context, address, directory string, from comfreyvale.Position) (*cvwire.DirectoryRecords, error) {
 	records := &cvwire.DirectoryRecords{}
-	if err := get(ctx, address, recordsPath, recordsQuery{Directory: directory, From: from}, records); err != nil {
+	if err := get(ctx, address, recordsPath, recordsQuery{Directory: directory, From: from.Offset(), Era: from.Era()}, records); err != nil {
 		return nil, err
 	}
 	if !records.GetKept() {
-		return nil, fail("fetch", comfreyvale.KindNotFound, errors.Errorf("records from offset %d on are not kept by the balancer", from))
+		return nil, fail("fetch", comfreyvale.KindNotFound, errors.Errorf("records from offset %d of era %d on are not kept by the balancer", from.Offset(), from.Era()))
 	}
 	return records, nil
 }
--- a/io/standins/cvmemdirectory/cvmemdirectory.go
+++ b/io/standins/cvmemdirectory/cvmemdirectory.go
@@ -121,12 +121,12 @@
 		changes = append(changes, c)
 	}
 	slices.SortFunc(changes, func(a, b comfreyvale.Change) int { return int(a.Offset() - b.Offset()) })
-	return comfreyvale.NewChanges(changes, d.nextOffset()).WithEra(d.era), nil
+	return comfreyvale.NewChanges(changes, comfreyvale.NewPosition(d.era, d.nextOffset())), nil
 }
 
-// Follow returns the records from an offset on. If there are none, it waits for up to the given time. It fails with
-// KindNotFound if the history does not hold the offset, and with KindUnavailable during an outage or if ctx ends.
-func (d *Directory) Follow(ctx context.Context, from int64, wait time.Duration) (comfreyvale.Changes, error) {
+// Follow returns the records from a position on. If there are none, it waits for up to the given time. It fails with
+// KindNotFound if the history does not hold the position, and with KindUnavailable during an outage or if ctx ends.
+func (d *Directory) Follow(ctx context.Context, from comfreyvale.Position, wait time.Duration) (comfreyvale.Changes, error) {
 	timeout := time.After(wait)
 	d.mu.Lock()
 	d.readCount++
@@ -135,22 +135,22 @@
 		d.mu.Lock()
 		down, first, next, changed, era := d.down, d.firstOffset, d.nextOffset(), d.changed, d.era
 		var changes []comfreyvale.Change
-		if from >= first && from < d.nextOffset() {
-			changes = slices.Clone(d.records[from-first:])
+		if from.Offset() >= first && from.Offset() < next {
+			changes = slices.Clone(d.records[from.Offset()-first:])
 		}
 		d.mu.Unlock()
 		switch {
 		case down:
 			return comfreyvale.Changes{}, fail(comfreyvale.KindUnavailable, "the directory is down")
-		case from < first || from > next:
-			return comfreyvale.Changes{}, fail(comfreyvale.KindNotFound, "the directory does not hold the offset")
+		case from.Era() != era || from.Offset() < first || from.Offset() > next:
+			return comfreyvale.Changes{}, fail(comfreyvale.KindNotFound, "the directory does not hold the position")
 		case len(changes) > 0:
-			return comfreyvale.NewChanges(changes, from+int64(len(changes))).WithEra(era), nil
+			return comfreyvale.NewChanges(changes, from.Plus(len(changes))), nil
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			return comfreyvale.NewChanges(nil, from).WithEra(era), nil
+			return comfreyvale.NewChanges(nil, from), nil
 		case <-ctx.Done():
 			return comfreyvale.Changes{}, fail(comfreyvale.KindUnavailable, ctx.Err().Error())
 		}
--- a/io/store/cvshareddirectory/cvshareddirectory.go
+++ b/io/store/cvshareddirectory/cvshareddirectory.go
@@ -33,11 +33,11 @@
 	Source comfreyvale.Directory
 	// IsReader reports whether this balancer is assigned to read the directory.
 	IsReader func(now time.Time) bool
-	// Ahead returns the address of a balancer that has read beyond an offset, or "". readByPeer is true if another
+	// Ahead returns the address of a balancer that has read beyond a position, or "". readByPeer is true if another
 	// balancer that is assigned to read the directory does so.
-	Ahead func(now time.Time, from int64) (address string, readByPeer bool)
-	// Fetch returns the records, from an offset on, that the balancer at an address keeps.
-	Fetch func(ctx context.Context, address string, from int64) (comfreyvale.Changes, error)
+	Ahead func(now time.Time, from comfreyvale.Position) (address string, readByPeer bool)
+	// Fetch returns the records, from a position on, that the balancer at an address keeps.
+	Fetch func(ctx context.Context, address string, from comfreyvale.Position) (comfreyvale.Changes, error)
 	// OnRead is called after each read from the platform whose context has not ended. The error is nil if the platform
 	// answered.
 	OnRead func(now time.Time, err error)
@@ -51,7 +51,7 @@
 func (d *Directory) Newest(ctx context.Context) (comfreyvale.Changes, error) {
 	changes, err := d.Source.Newest(ctx)
 	if err == nil {
-		d.OnEra(changes.Era())
+		d.OnEra(changes.Next().Era())
 	}
 	d.reportRead(ctx, err)
 	return changes, err
@@ -69,10 +69,10 @@
 	d.OnRead(time.Now(), err)
 }
 
-// Follow returns the records from an offset on. If there is none yet, it waits for one, but at most for the given time.
+// Follow returns the records from a position on. If there is none yet, it waits for one, but at most for the given time.
 // It reads from the platform if this balancer is assigned to, or if no other one reads. Otherwise it waits until
 // another balancer is ahead and fetches the records from that one or, if that fails, reads from the platform.
-func (d *Directory) Follow(ctx context.Context, from int64, wait time.Duration) (comfreyvale.Changes, error) {
+func (d *Directory) Follow(ctx context.Context, from comfreyvale.Position, wait time.Duration) (comfreyvale.Changes, error) {
 	for deadline := time.Now().Add(wait); ctx.Err() == nil; cvpause.For(ctx, checkInterval) {
 		now := time.Now()
 		address, readByPeer := d.Ahead(now, from)
@@ -93,10 +93,10 @@
 }
 
 // fetch returns false if the records cannot be fetched from the other balancer.
-func (d *Directory) fetch(ctx context.Context, address string, from int64) (comfreyvale.Changes, bool) {
+func (d *Directory) fetch(ctx context.Context, address string, from comfreyvale.Position) (comfreyvale.Changes, bool) {
 	changes, err := d.Fetch(ctx, address, from)
 	if err != nil {
-		d.Logger.WithFields(log.Fields{"directory": d.String(), "peer": address, "from": from}).WithError(err).Info("cannot fetch the records from the peer")
+		d.Logger.WithFields(log.Fields{"directory": d.String(), "peer": address, "from": from.Offset(), "era": from.Era()}).WithError(err).Info("cannot fetch the records from the peer")
 	}
 	return changes, err == nil
 }
@@ -108,7 +108,7 @@
 
 // followSource reads from the platform. If the read is still unanswered after overdueChecks checks in a row found
 // another balancer ahead, it abandons the read and fetches the records from that balancer.
-func (d *Directory) followSource(ctx context.Context, from int64, wait time.Duration) (comfreyvale.Changes, error) {
+func (d *Directory) followSource(ctx context.Context, from comfreyvale.Position, wait time.Duration) (comfreyvale.Changes, error) {
 	readCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan readResult, 1)
@@ -122,7 +122,7 @@
 		select {
 		case r := <-results:
 			if r.err == nil {
-				d.OnEra(r.changes.Era())
+				d.OnEra(r.changes.Next().Era())
 			}
 			d.reportRead(ctx, r.err)
 			return r.changes, r.err
@@ -145,9 +145,9 @@
 }
 
 // reportOverdue reports a failed read: the platform has answered another balancer but not this one.
-func (d *Directory) reportOverdue(ctx context.Context, peer string, from int64) {
+func (d *Directory) reportOverdue(ctx context.Context, peer string, from comfreyvale.Position) {
 	err := fault{cvfault.New("follow", comfreyvale.KindTimeout, errors.New("the platform has not answered, but another balancer has the records"))}
-	d.Logger.WithFields(log.Fields{"directory": d.String(), "peer": peer, "from": from}).WithError(err).Info("gave up an unanswered read; used the records of the peer")
+	d.Logger.WithFields(log.Fields{"directory": d.String(), "peer": peer, "from": from.Offset(), "era": from.Era()}).WithError(err).Info("gave up an unanswered read; used the records of the peer")
 	d.reportRead(ctx, err)
 }
 
--- a/io/store/cvshareddirectory/cvshareddirectory_test.go
+++ b/io/store/cvshareddirectory/cvshareddirectory_test.go
@@ -31,9 +31,9 @@
 	return &cvshareddirectory.Directory{
 		Source: source, Logger: &log.Logger{Handler: discard.Default},
 		IsReader: func(time.Time) bool { return s.reader },
-		Ahead:    func(time.Time, int64) (string, bool) { return s.ahead, s.readByPeer },
-		Fetch: func(_ context.Context, address string, from int64) (comfreyvale.Changes, error) {
-			return comfreyvale.NewChanges([]comfreyvale.Change{comfreyvale.NewChange("of", []byte(address), from)}, from+1), s.fetchErr
+		Ahead:    func(time.Time, comfreyvale.Position) (string, bool) { return s.ahead, s.readByPeer },
+		Fetch: func(_ context.Context, address string, from comfreyvale.Position) (comfreyvale.Changes, error) {
+			return comfreyvale.NewChanges([]comfreyvale.Change{comfreyvale.NewChange("of", []byte(address), from.Offset())}, from.Plus(1)), s.fetchErr
 		},
 		OnEra: func(int64) {},
 		OnRead: func(_ time.Time, err error) {
@@ -65,7 +65,7 @@
 			if c.written {
 				source.Put("of", []byte("platform"))
 			}
-			changes, err := c.state.directory(source).Follow(context.Background(), 0, time.Hour)
+			changes, err := c.state.directory(source).Follow(context.Background(), comfreyvale.Position{}, time.Hour)
 			require.NoError(t, err)
 			require.Len(t, changes.Records(), 1)
 			require.Equal(t, c.from, string(changes.Records()[0].Value()))
@@ -81,10 +81,10 @@
 	source := cvmemdirectory.New()
 	source.Put("a", []byte("1"))
 	source.LoseHistory()
-	_, err := s.directory(source).Follow(context.Background(), 0, 0)
+	_, err := s.directory(source).Follow(context.Background(), comfreyvale.Position{}, 0)
 	require.Error(t, err)
 	source.SetDown(true)
-	_, err = s.directory(source).Follow(context.Background(), 0, 0)
+	_, err = s.directory(source).Follow(context.Background(), comfreyvale.Position{}, 0)
 	require.Error(t, err)
 	_, err = s.directory(source).Newest(context.Background())
 	require.Error(t, err)
--- a/io/store/cvwatch/cvwatch.go
+++ b/io/store/cvwatch/cvwatch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/pkg/errors"
 
 	"comfreyvale"
 	"comfreyvale/core/cvfault"
@@ -23,6 +24,8 @@
 	maxBackoff = 1200 * time.Millisecond
 )
 
+type fault struct{ cvfault.Fault }
+
 // Watch reads one directory continuously and reports its changes.
 type Watch struct {
 	// Directory is the directory to follow.
@@ -39,7 +42,7 @@
 	// Logger logs outages, and when the directory's history was lost.
 	Logger log.Interface
 
-	nextOffset   int64
+	next         comfreyvale.Position
 	synced       bool
 	failures     int
 	unreachable  bool
@@ -67,6 +70,9 @@
 		if err != nil {
 			return err
 		}
+		if changes.Next().Era() < w.next.Era() {
+			return fault{cvfault.New("newest", comfreyvale.KindUnavailable, errors.Errorf("content of era %d is older than that of era %d", changes.Next().Era(), w.next.Era()))}
+		}
 		w.apply(changes, true)
 		return nil
 	}
@@ -75,10 +81,10 @@
 		// The first read after a failure returns at once, to show whether the directory is reachable again.
 		wait = 0
 	}
-	changes, err := w.Directory.Follow(ctx, w.nextOffset, wait)
+	changes, err := w.Directory.Follow(ctx, w.next, wait)
 	if cvfault.KindOf(err) == comfreyvale.KindNotFound {
 		w.synced = false
-		w.Logger.WithField("directory", w.Directory.String()).WithField("from", w.nextOffset).Warn("directory lost its history; reading the complete content")
+		w.Logger.WithFields(log.Fields{"directory": w.Directory.String(), "from": w.next.Offset(), "era": w.next.Era()}).WithError(err).Warn("directory lost its history; reading the complete content")
 		return nil
 	}
 	if err != nil {
@@ -91,7 +97,7 @@
 func (w *Watch) apply(changes comfreyvale.Changes, full bool) {
 	now := time.Now()
 	w.OnReachability(now, true)
-	w.nextOffset = changes.Next()
+	w.next = changes.Next()
 	w.synced = true
 	w.OnChange(now, full, changes)
 }
