Repeat in digests only the request limits that a data centre has first-hand

A limit is repeated now where it was named or where its upstream stands. Changed is split into what has changed and what is repeated. Existing tests pass: TestLimitedUpstreamElsewhere, TestLimitsInMessages, TestChanged; the sizes of digests were not measured.

--- a/core/cvselector/reports.go
+++ b/core/cvselector/reports.go
@@ -133,20 +133,30 @@
 	return state
 }
 
-// Changed returns the IDs of the upstreams of which other data centres must learn: those on which the attempts of this
-// data centre's balancers have changed within the given time, and those of this data centre of which a load or a
-// slowness was learned within that time, and those whose request limit has changed. If inUse is set, also those with
-// attempts in flight, and those that have lately stated a limit.
+// Changed returns the IDs of the upstreams of which other data centres must learn, because something has changed within
+// the given time. If inUse is set, it also returns those of which they must learn repeatedly.
 func (s *Selector) Changed(now time.Time, within time.Duration, inUse bool) []string {
 	var found []string
 	for _, u := range s.upstreams {
-		if now.Sub(u.countsChangedAt) <= within || s.near(u) && now.Sub(u.learnedAt) <= within || inUse && (u.localInFlight(now) > 0 || u.limitStated(now)) || now.Sub(u.limitChangedAt) <= within {
+		if s.changedWithin(now, u, within) || inUse && s.repeated(now, u) {
 			found = append(found, u.instance.ID())
 		}
 	}
 	return found
 }
 
+// changedWithin reports whether the attempts of this data centre's balancers or the request limit have changed within
+// the given time, or whether a load or a slowness of an upstream in this data centre was learned within it.
+func (s *Selector) changedWithin(now time.Time, u *upstream, within time.Duration) bool {
+	return now.Sub(u.countsChangedAt) <= within || now.Sub(u.limitChangedAt) <= within || s.near(u) && now.Sub(u.learnedAt) <= within
+}
+
+// repeated reports whether this data centre's balancers have attempts in flight, or whether the upstream has lately
+// stated a request limit to this balancer or in this data centre. Others repeat the rest.
+func (s *Selector) repeated(now time.Time, u *upstream) bool {
+	return u.localInFlight(now) > 0 || u.limitStated(now) && (s.near(u) || u.limit.Source() == "")
+}
+
 // UpstreamsToProbe returns the upstreams in this data centre that are not draining, do not limit their requests, and whose last report and last probe
 // are older than age.
 func (s *Selector) UpstreamsToProbe(now time.Time, age time.Duration) []*cvinstance.Instance {
--- a/io/upstreams/cvslots/cvslots.go
+++ b/io/upstreams/cvslots/cvslots.go
@@ -77,7 +77,8 @@
 }
 
 // Acquire waits for a slot. The error has KindNotFound if no upstream accepts requests, KindExhausted if the request
-// cannot be answered in time, KindLimited if that is because the upstreams limit their requests, and KindTimeout if the context ends.
+// cannot be answered in time, KindLimited if that is because the upstreams limit their requests, and KindTimeout if the
+// context ends.
 func (s *Slots) Acquire(ctx context.Context, need cvrequirements.Requirements) (*cvwaiter.Waiter, error) {
 	waiter := cvwaiter.New(time.Now(), need)
 	ready, err := s.enter(waiter)
