--- a/core/cvpermits/cvpermits_test.go
+++ b/core/cvpermits/cvpermits_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -163,7 +164,8 @@
 }
 
 // TestFleetKeepsLimit guards against more requests than an upstream allows: in any interleaving of requests, news of who
-// is there, pauses, stops and starts of balancers, no window has more.
+// is there, new limits, pauses, stops and starts of balancers, no window has more. While limits change, the highest one
+// counts.
 func TestFleetKeepsLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const (
@@ -171,18 +173,22 @@
 			// settling is how long after its start a balancer knows of the others.
 			settling = 2 * time.Second
 		)
-		perSecond := math.Exp2(rapid.Float64Range(-5, 6).Draw(t, "log2 of the limit"))
+		drawLimit := func() float64 { return math.Exp2(rapid.Float64Range(-5, 6).Draw(t, "log2 of the limit")) }
+		perSecond := drawLimit()
+		highest := perSecond
 		count := rapid.SampledFrom([]int{1, 2, 6, 44, 124}).Draw(t, "balancers")
 		fleet := make([]*balancer, count)
 		gone := make(map[int]bool)
+		// told is the demand that each balancer last told; inform lets a balancer hear of all.
+		told := slices.Repeat([]float64{8}, count)
 		inform := func(n int) {
 			others := make(map[string]float64)
 			for o := range fleet {
 				if o != n && !gone[o] {
-					others[fmt.Sprint(o)] = 8
+					others[fmt.Sprint(o)] = told[o]
 				}
 			}
-			fleet[n].shares = cvshares.New(fmt.Sprint(n), 8, others)
+			fleet[n].shares = cvshares.New(fmt.Sprint(n), told[n], others)
 		}
 		now := start
 		for n := range fleet {
@@ -194,7 +200,7 @@
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
 			n := rapid.IntRange(0, count-1).Draw(t, "balancer")
-			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			switch rapid.IntRange(0, 11).Draw(t, "step") {
 			case 0:
 				// Another process starts in its place, and knows nothing.
 				fleet[n].permits, fleet[n].settled = cvpermits.Permits{}, now.Add(settling)
@@ -204,6 +210,15 @@
 				fleet[n].settled = now.Add(settling)
 			case 2:
 				inform(n)
+			case 3:
+				// One balancer hears of a new limit; the others still have the one before, until they hear in their turn.
+				if rapid.Bool().Draw(t, "new") {
+					perSecond = drawLimit()
+					highest = max(highest, perSecond)
+				}
+				fleet[n].permits.SetLimit(now.Add(fleet[n].clock), perSecond)
+			case 4:
+				told[n] = rapid.SampledFrom([]float64{0, 1, 8, 64}).Draw(t, "demand")
 			default:
 				// All that are not gone have more requests than they may send; a paused one has none in this step.
 				paused := rapid.IntRange(0, count-1).Draw(t, "paused")
@@ -216,6 +231,6 @@
 				}
 			}
 		}
-		require.LessOrEqual(t, most(sent), allowed(perSecond), "limit %.3f, %d balancers", perSecond, count)
+		require.LessOrEqual(t, most(sent), allowed(highest), "limit %.3f, %d balancers", highest, count)
 	})
 }
