--- a/core/cvadmission/limits_test.go
+++ b/core/cvadmission/limits_test.go
@@ -22,10 +22,14 @@
 // The simulated fleet with request limits: some upstreams begin to name one. Balancers learn of it from their own
 // answers and, later, from each other.
 const (
+	// limitSimPerBalancer are the requests a second, and limitSimUpstreams the upstreams, of which there are for each
+	// balancer. limitSimSlots are the slots of an upstream.
 	limitSimPerBalancer = 8.0
 	limitSimUpstreams   = 3
+	limitSimSlots       = 3
 	limitSimTime        = 14 * time.Second
-	limitSimFrom        = 2 * time.Second
+	// limitSimFrom is when upstreams begin to name their limits.
+	limitSimFrom = 2 * time.Second
 	// limitSimCounts is the interval at which balancers learn of each other's attempts, and limitSimNews how long the news
 	// of a limit take.
 	limitSimCounts = 100 * time.Millisecond
@@ -39,21 +43,24 @@
 	limitSimSlack   = 5
 )
 
+// limitedUpstream names a limit from limitSimFrom on, unless perSecond is 0.
 type limitedUpstream struct {
 	upstream
 	perSecond float64
 	arrivals  []time.Time
-	namedAt   time.Time
+	// namedAt is when it first named its limit.
+	namedAt time.Time
 }
 
 type limitSimulation struct {
 	simulation
-	limits    []*limitedUpstream
+	// all are the upstreams, with and without a limit.
+	all       []*limitedUpstream
 	balancers []*balancer
 	// inFlight are the attempts of all balancers on each upstream as last told.
 	inFlight map[string]int
-	// limited counts the requests that were refused because of request limits.
-	limited int
+	// refusedByLimits counts the requests that were refused because every upstream limits its requests.
+	refusedByLimits int
 }
 
 // newLimitSimulation makes every nth upstream name a limit, none if it is 0.
@@ -65,8 +72,8 @@
 		if nth > 0 && n%nth == 0 {
 			u.perSecond = perSecond
 		}
-		s.limits = append(s.limits, u)
-		instances = append(instances, cvinstance.New(fmt.Sprint(n), "g", "", "dc", 3))
+		s.all = append(s.all, u)
+		instances = append(instances, cvinstance.New(fmt.Sprint(n), "g", "", "dc", limitSimSlots))
 	}
 	for id := range balancers {
 		others := make(map[string]float64)
@@ -83,10 +90,11 @@
 	return s
 }
 
+// start sends a request to the upstream that was granted.
 func (s *limitSimulation) start(now time.Time, from int, w *cvwaiter.Waiter, r *simRequest) {
 	b, n := s.balancers[from], 0
 	fmt.Sscan(w.Instance().ID(), &n)
-	u := s.limits[n]
+	u := s.all[n]
 	u.arrivals = append(u.arrivals, now)
 	u.running++
 	s.schedule(now.Add(time.Duration(float64(r.work)*u.slowness(now))), func(now time.Time) {
@@ -95,7 +103,7 @@
 			s.result.onTime++
 		}
 		b.selector.Done(now, w.Instance().ID(), w.GrantedAt(), comfreyvale.ResultAnswered)
-		b.selector.RecordReport(now, w.Instance().ID(), cvloadreport.New(u.running, 0, 3, u.slowness(now)), 0)
+		b.selector.RecordReport(now, w.Instance().ID(), cvloadreport.New(u.running, 0, limitSimSlots, u.slowness(now)), 0)
 		b.admission.RecordRelease(now)
 		if u.perSecond > 0 && now.Sub(simStart) >= limitSimFrom {
 			s.name(now, from, n)
@@ -106,11 +114,11 @@
 
 // name tells a balancer the limit of an upstream, and the others when its news have arrived.
 func (s *limitSimulation) name(now time.Time, to, n int) {
-	u := s.limits[n]
+	u := s.all[n]
 	if u.namedAt.IsZero() {
 		u.namedAt = now
 	}
-	instance := cvinstance.New(fmt.Sprint(n), "g", "", "dc", 3)
+	instance := cvinstance.New(fmt.Sprint(n), "g", "", "dc", limitSimSlots)
 	s.balancers[to].selector.RecordLimit(now, now, instance, u.perSecond, "")
 	s.schedule(now.Add(limitSimNews), func(later time.Time) {
 		for _, b := range s.balancers {
@@ -119,6 +127,7 @@
 	})
 }
 
+// advance starts the waiting requests of a balancer that can have a slot now, and refuses those whose time is up.
 func (s *limitSimulation) advance(now time.Time, from int) {
 	b := s.balancers[from]
 	for b.admission.Len() > 0 {
@@ -131,6 +140,7 @@
 	s.result.refused += len(b.admission.RemoveExpired(now))
 }
 
+// play simulates limitSimTime of requests. The result does not count those in refusedByLimits.
 func (s *limitSimulation) play() simResult {
 	for tick := simStart; tick.Before(simStart.Add(limitSimTime + time.Second)); tick = tick.Add(simTick) {
 		s.schedule(tick, func(now time.Time) {
@@ -157,7 +167,7 @@
 		case cvadmission.Refused:
 			s.result.refused++
 		case cvadmission.Limited:
-			s.limited++
+			s.refusedByLimits++
 		}
 	})
 }
@@ -174,6 +184,7 @@
 			counts[id] += state.InFlight()
 		}
 	}
+	// An upstream whose last attempts have ended is told once more, with a count of 0.
 	for id := range s.inFlight {
 		counts[id] += 0
 	}
@@ -234,7 +245,7 @@
 				t.Logf("%d upstreams have named a limit, at most %d requests in a window; on time %.3f", named, most, result.onTimeShare())
 				require.Positive(t, named)
 				require.LessOrEqual(t, float64(most), limitSimFactor*c.perSecond*limitSimWindow.Seconds()+limitSimSlack)
-				require.Zero(t, s.limited, "refused although other upstreams have room")
+				require.Zero(t, s.refusedByLimits, "refused although other upstreams have room")
 				if seed < c.seeds {
 					onTime += result.onTimeShare() / float64(c.seeds)
 					unlimited += newLimitSimulation(seed, c.balancers, 0, 0).play().onTimeShare() / float64(c.seeds)
@@ -255,7 +266,7 @@
 			s := newLimitSimulation(1, balancers, 1, perSecond)
 			s.play()
 			most, total, named := s.limitedRequests()
-			require.Equal(t, len(s.limits), named)
+			require.Equal(t, len(s.all), named)
 			require.LessOrEqual(t, float64(most), limitSimFactor*perSecond*limitSimWindow.Seconds()+limitSimSlack)
 			used := float64(total) / (perSecond * float64(named) * (limitSimTime - limitSimFrom - limitSimSettled).Seconds())
 			t.Logf("at most %d requests in a window; %.3f of the limits used", most, used)
@@ -267,7 +278,7 @@
 // limitedRequests returns the highest number of requests of an upstream in a window after it has named its limit, the
 // number of all requests after that, and the number of upstreams that have named one.
 func (s *limitSimulation) limitedRequests() (most, total, named int) {
-	for _, u := range s.limits {
+	for _, u := range s.all {
 		m, n := u.inWindows()
 		most, total = max(most, m), total+n
 		if !u.namedAt.IsZero() {
--- a/core/cvpeertable/cvpeertable_test.go
+++ b/core/cvpeertable/cvpeertable_test.go
@@ -14,6 +14,9 @@
 
 var start = time.Unix(1000, 0)
 
+// offset returns a position in a directory that was never restored.
+func offset(n int64) comfreyvale.Position { return comfreyvale.NewPosition(0, n) }
+
 func update(table *cvpeertable.Table, now time.Time, address, dataCentre string, number uint64) {
 	receive(table, now, address, number, &cvwire.News{DataCentre: dataCentre, Version: int64(number)})
 }
@@ -344,31 +347,28 @@
 func TestDemands(t *testing.T) {
 	const demand = 8
 	cases := map[string]struct {
-		addresses []string
-		heard     time.Duration
-		stopping  bool
-		silence   time.Duration
-		counted   bool
-		isolated  bool
+		seeds []string
+		// heard is set if balancer "b" has sent its state, stopping if it said that it stops; silence is the time since.
+		heard, stopping bool
+		silence         time.Duration
+		// counted is set if "b" has a share, isolated if no other balancer has been heard of lately.
+		counted, isolated bool
 	}{
 		"alone":                        {},
-		"none of the seeds answers":    {addresses: []string{"b"}, isolated: true},
-		"another":                      {addresses: []string{"b"}, heard: time.Second, counted: true},
-		"one that stops":               {addresses: []string{"b"}, heard: time.Second, stopping: true},
-		"one that is silent":           {addresses: []string{"b"}, heard: time.Second, silence: 10 * time.Second, counted: true, isolated: true},
-		"one that was silent for long": {addresses: []string{"b"}, heard: time.Second, silence: time.Minute, isolated: true},
+		"none of the seeds answers":    {seeds: []string{"b"}, isolated: true},
+		"another":                      {seeds: []string{"b"}, heard: true, counted: true},
+		"one that stops":               {seeds: []string{"b"}, heard: true, stopping: true},
+		"one that is silent":           {seeds: []string{"b"}, heard: true, silence: 10 * time.Second, counted: true, isolated: true},
+		"one that was silent for long": {seeds: []string{"b"}, heard: true, silence: time.Minute, isolated: true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			now := time.Unix(1000, 0)
-			table := &cvpeertable.Table{Self: "a", DataCentre: "dc"}
-			table.AddAddresses(now, c.addresses)
-			if c.heard > 0 {
-				now = now.Add(c.heard)
-				require.True(t, table.RecordMessage(now, "b", 1, 1))
-				table.RecordState(now, "b", &cvwire.News{DataCentre: "dc", Whole: true, Demand: demand, Stopping: c.stopping})
+			table := &cvpeertable.Table{Self: "a", DataCentre: "x"}
+			table.AddAddresses(start, c.seeds)
+			if c.heard {
+				receive(table, start, "b", 1, &cvwire.News{DataCentre: "x", Demand: demand, Stopping: c.stopping})
 			}
-			demands, isolated := table.Demands(now.Add(c.silence))
+			demands, isolated := table.Demands(start.Add(c.silence))
 			require.Equal(t, c.isolated, isolated)
 			if c.counted {
 				require.Equal(t, map[string]float64{"b": demand}, demands)
@@ -379,8 +379,6 @@
 	}
 }
 
-func offset(n int64) comfreyvale.Position { return comfreyvale.NewPosition(0, n) }
-
 // TestAheadAcrossEras guards against a balancer that follows one which stands at a higher offset, but of a time before
 // the directory was restored from an older copy.
 func TestAheadAcrossEras(t *testing.T) {
@@ -398,11 +396,12 @@
 		for place, dataCentre := range map[string]string{"near": "x", "told by others": "y"} {
 			t.Run(name+", "+place, func(t *testing.T) {
 				here := &cvpeertable.Table{Self: "a", DataCentre: "x"}
+				state := &cvwire.News{DataCentre: dataCentre, Reading: true, RoutesNext: c.next, UpstreamsNext: c.next, RoutesEra: c.era, UpstreamsEra: c.era}
 				if dataCentre == here.DataCentre {
-					receive(here, start, "b", 1, &cvwire.News{DataCentre: dataCentre, Reading: true, RoutesNext: c.next, UpstreamsNext: c.next, RoutesEra: c.era, UpstreamsEra: c.era})
+					receive(here, start, "b", 1, state)
 				} else {
 					there := &cvpeertable.Table{Self: "c", DataCentre: dataCentre}
-					receive(there, start, "b", 1, &cvwire.News{DataCentre: dataCentre, Reading: true, RoutesNext: c.next, UpstreamsNext: c.next, RoutesEra: c.era, UpstreamsEra: c.era})
+					receive(there, start, "b", 1, state)
 					here.RecordMembers(start, dataCentre, there.Members(start))
 				}
 				routes, upstreams, readByPeer := here.Ahead(start, time.Second, c.from, c.from)
--- a/io/balancers/cvnode/attempts.go
+++ b/io/balancers/cvnode/attempts.go
@@ -183,9 +183,7 @@
 // attempt sends the request to an upstream, and releases the slot.
 func (e *exchange) attempt(ctx context.Context, waiter *cvwaiter.Waiter) *attempt {
 	a := &attempt{waiter: waiter, startedAt: time.Now(), selection: e.selectionFields(waiter)}
-	if limit := e.slots.NamedLimit(a.upstream()); limit.PerSecond() > 0 {
-		e.node.metrics.LimitedAttempt(e.group)
-	}
+	e.countLimits(waiter)
 	ctx, span := e.node.Tracer.Start(ctx, "try", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	a.response, a.err = e.node.pool.Exchange(ctx, waiter.Instance(), e.connectionLimit(), e.tracedMessage(ctx), e.deadline, !e.route.Idempotent())
@@ -235,15 +233,26 @@
 		"waitedMs": waiter.GrantedAt().Sub(waiter.EnteredAt()).Milliseconds(), "ownTries": state.InFlight(),
 		"reportAgeMs": min(state.LoadAge(), maxLoggedAge).Milliseconds(), "reportBusy": state.Load(), "reportSlowness": state.Slowness(),
 	}
+	// The limit that held the request back says more about the choice than one of the chosen upstream.
+	limitOf := waiter.Instance().ID()
+	if heldBackFrom := waiter.HeldBack(); heldBackFrom != "" {
+		fields["heldBackFrom"] = heldBackFrom
+		limitOf = heldBackFrom
+	}
+	if limit := e.slots.NamedLimit(limitOf); limit.PerSecond() > 0 {
+		fields["limitPerSecond"], fields["limitAgeMs"], fields["limitFrom"] = limit.PerSecond(), time.Since(limit.StatedAt()).Milliseconds(), limit.Source()
+	}
+	return fields
+}
+
+// countLimits counts the attempt if its upstream limits its requests, or if the preferred one does.
+func (e *exchange) countLimits(waiter *cvwaiter.Waiter) {
 	if limit := e.slots.NamedLimit(waiter.Instance().ID()); limit.PerSecond() > 0 {
-		addLimit(fields, limit)
+		e.node.metrics.LimitedAttempt(e.group)
 	}
-	if id := waiter.HeldBack(); id != "" {
-		fields["heldBackFrom"] = id
-		addLimit(fields, e.slots.NamedLimit(id))
+	if waiter.HeldBack() != "" {
 		e.node.metrics.LimitHeldBack(e.group)
 	}
-	return fields
 }
 
 // hedgeTimer fires after the hedgeQuantile of the attempt durations. It is nil if the request is not hedged.
--- a/io/balancers/cvnode/limits.go
+++ b/io/balancers/cvnode/limits.go
@@ -82,11 +82,6 @@
 	}
 }
 
-// addLimit adds a request limit to the log fields of an attempt.
-func addLimit(fields log.Fields, limit cvnamedlimit.Limit) {
-	fields["limitPerSecond"], fields["limitAgeMs"], fields["limitFrom"] = limit.PerSecond(), time.Since(limit.StatedAt()).Milliseconds(), limit.Source()
-}
-
 // recordDemand counts a request that arrives.
 func (n *Node) recordDemand(now time.Time) {
 	n.mu.Lock()
--- a/io/store/cvshareddirectory/cvshareddirectory_test.go
+++ b/io/store/cvshareddirectory/cvshareddirectory_test.go
@@ -18,13 +18,15 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// state holds what the directory learns about other balancers, and whether each reported read succeeded.
+// state holds what the directory learns about other balancers, whether each reported read succeeded, and the eras that
+// were reported.
 type state struct {
 	reader     bool
 	readByPeer bool
 	ahead      string
 	fetchErr   error
 	succeeded  []bool
+	eras       []int64
 }
 
 func (s *state) directory(source comfreyvale.Directory) *cvshareddirectory.Directory {
@@ -35,7 +37,7 @@
 		Fetch: func(_ context.Context, address string, from comfreyvale.Position) (comfreyvale.Changes, error) {
 			return comfreyvale.NewChanges([]comfreyvale.Change{comfreyvale.NewChange("of", []byte(address), from.Offset())}, from.Plus(1)), s.fetchErr
 		},
-		OnEra: func(int64) {},
+		OnEra: func(era int64) { s.eras = append(s.eras, era) },
 		OnRead: func(_ time.Time, err error) {
 			s.succeeded = append(s.succeeded, err == nil)
 		},
@@ -95,3 +97,25 @@
 	require.Error(t, err)
 	require.Len(t, s.succeeded, 3, "a read whose context has ended was reported")
 }
+
+// TestOnEra checks that the era of each successful read from the platform is reported, and none of a read that failed or
+// of records that another balancer has read.
+func TestOnEra(t *testing.T) {
+	s := &state{reader: true, readByPeer: true}
+	source := cvmemdirectory.New()
+	source.Put("a", []byte("1"))
+	d := s.directory(source)
+	read, err := d.Newest(context.Background())
+	require.NoError(t, err)
+	source.Restore(1)
+	_, err = d.Follow(context.Background(), read.Next(), 0)
+	require.Error(t, err, "a position of before the restoration")
+	read, err = d.Newest(context.Background())
+	require.NoError(t, err)
+	_, err = d.Follow(context.Background(), read.Next(), 0)
+	require.NoError(t, err)
+	s.reader, s.ahead = false, "peer"
+	_, err = d.Follow(context.Background(), read.Next(), time.Hour)
+	require.NoError(t, err)
+	require.Equal(t, []int64{0, 1, 1}, s.eras)
+}
