--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # network and no package beyond the standard library.
 set -eu
 cd "$(dirname "$0")/kit"
-GOPROXY=off GOTOOLCHAIN=local go build -o ../bin/review .
+GOPROXY=off GOTOOLCHAIN=local go build -o ../bin/review.new . && mv ../bin/review.new ../bin/review
--- a/review/kit/late_rejection.go
+++ b/review/kit/late_rejection.go
@@ -51,12 +51,12 @@
 		return false, err
 	}
 	time.Sleep(3 * time.Second)
-	ctx, cancel := context.WithTimeout(w.ctx, 35*time.Second)
+	ctx, cancel := context.WithTimeout(w.ctx, 64*time.Second)
 	defer cancel()
 	if w.trouble {
 		go func() {
-			for range 3 {
-				pause(ctx, 5*time.Second)
+			for range 7 {
+				pause(ctx, 3*time.Second)
 				w.rec.log("trouble begins")
 				active.Store(true)
 				pause(ctx, 5*time.Second)
--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -18,7 +18,6 @@
 	"endless-answers": endlessAnswers,
 	"unread-body":     unreadBody,
 	"poison":          poison,
-	"same-path":       samePath,
 	"silent-store":    silentStore,
 }
 
