--- a/review/kit/client.go
+++ b/review/kit/client.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -15,9 +14,6 @@
 	"time"
 )
 
-// errNoMachine means that no machine takes connections.
-var errNoMachine = errors.New("no machine in rotation")
-
 // reply is what a client saw of one attempt.
 type reply struct {
 	status  int
@@ -99,18 +95,18 @@
 
 // keptLoad sends requests on kept connections, each with one request at a time, until the context ends. A connection
 // that breaks is replaced by a new one. done gets the outcomes of requests that were not the first of their connection.
-func (w *world) keptLoad(ctx context.Context, wg *sync.WaitGroup, perSecond float64, connections int, make func() *request, done func(outcome)) {
+func (w *world) keptLoad(ctx context.Context, wg *sync.WaitGroup, perSecond float64, connections int, next func() *request, done func(outcome)) {
 	for range connections {
 		wg.Go(func() {
 			for ctx.Err() == nil {
-				w.keepConnection(ctx, float64(connections)/perSecond, make, done)
+				w.keepConnection(ctx, float64(connections)/perSecond, next, done)
 				pause(ctx, 100*time.Millisecond)
 			}
 		})
 	}
 }
 
-func (w *world) keepConnection(ctx context.Context, meanPause float64, make func() *request, done func(outcome)) {
+func (w *world) keepConnection(ctx context.Context, meanPause float64, next func() *request, done func(outcome)) {
 	m := w.pick()
 	conn, err := net.DialTimeout("tcp", m.address(portListen), time.Second)
 	if err != nil {
@@ -123,7 +119,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		q := make()
+		q := next()
 		o := outcome{request: q, sentAt: time.Now(), reply: reply{machine: m}}
 		w.rec.log("client sends %s %s %s%s to %s, on a kept connection", q.id, q.method, q.host, q.path, m.name)
 		conn.SetDeadline(o.sentAt.Add(q.deadline + 2*time.Second))
--- a/review/kit/load.go
+++ b/review/kit/load.go
@@ -24,7 +24,7 @@
 
 // load sends requests in an open loop until the context ends, and passes each outcome to done. A client tries once more
 // after a promise that its request has not run, under a new id.
-func (w *world) load(ctx context.Context, wg *sync.WaitGroup, perSecond float64, make func() *request, done func(outcome)) {
+func (w *world) load(ctx context.Context, wg *sync.WaitGroup, perSecond float64, next func() *request, done func(outcome)) {
 	wg.Go(func() {
 		for ctx.Err() == nil {
 			pause(ctx, time.Duration(rand.ExpFloat64()/perSecond*float64(time.Second)))
@@ -32,10 +32,10 @@
 				return
 			}
 			wg.Go(func() {
-				deadline := time.Now().Add(0)
+				begun := time.Now()
 				for range 2 {
-					q := make()
-					if deadline.Before(time.Now().Add(-q.deadline / 2)) {
+					q := next()
+					if time.Since(begun) > q.deadline/2 {
 						return
 					}
 					o := outcome{request: q, sentAt: time.Now()}
--- a/review/kit/platform.go
+++ b/review/kit/platform.go
@@ -45,7 +45,6 @@
 	mu       sync.Mutex
 	cmd      *exec.Cmd
 	stopped  bool
-	ownEnds  int
 	killing  bool
 	inRoute  atomic.Bool
 	peakKB   atomic.Int64
@@ -159,9 +158,6 @@
 	<-ended
 	m.mu.Lock()
 	own := !m.killing && !m.stopped
-	if own {
-		m.ownEnds++
-	}
 	stopped := m.stopped
 	m.mu.Unlock()
 	m.inRoute.Store(false)
--- a/review/kit/server.go
+++ b/review/kit/server.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,8 +36,6 @@
 	slots   int
 	queue   int
 	work    func(c *call) time.Duration
-	// noLoad is set for a server of a service that does not tell its load.
-	noLoad bool
 	// intercept may answer a request itself, before anything is run, and then returns true.
 	intercept func(s *server, c *call) bool
 	// extra returns bytes to send at the point where the next answer of this connection is expected.
@@ -57,7 +54,6 @@
 	running  atomic.Int64
 	waiting  atomic.Int64
 	free     chan struct{}
-	arrivals atomic.Int64
 }
 
 type serverConn struct {
@@ -219,9 +215,7 @@
 	if c.id != "" && header["X-Not-Executed"] == "" {
 		fmt.Fprintf(&b, "X-Request-Id: %s\r\n", c.id)
 	}
-	if !s.noLoad {
-		fmt.Fprintf(&b, "X-Server-Load: %s\r\n", s.load())
-	}
+	fmt.Fprintf(&b, "X-Server-Load: %s\r\n", s.load())
 	for name, value := range header {
 		fmt.Fprintf(&b, "%s: %s\r\n", name, value)
 	}
@@ -237,7 +231,6 @@
 
 // handle reports whether the connection goes on.
 func (s *server) handle(c *call) bool {
-	s.arrivals.Add(1)
 	if len(c.conn.pending) > 0 {
 		pending := c.conn.pending
 		c.conn.pending = nil
@@ -316,5 +309,3 @@
 	default:
 	}
 }
-
-func itoa(n int) string { return strconv.Itoa(n) }
--- a/review/kit/thread.go
+++ b/review/kit/thread.go
@@ -7,8 +7,10 @@
 	"unsafe"
 )
 
+// lockThread keeps this goroutine on its thread.
 func lockThread() { runtime.LockOSThread() }
 
+// cpuSet is a set of cores, as the kernel takes it.
 type cpuSet [16]uint64
 
 // useOneCore keeps this thread, and the processes that it starts, on one of the cores that it may use: the users'
