Review: the cases hold themselves more strictly to their claims

Case 1: shares are exact, and TWICE alone decides. Case 4: a request that crosses the next version is not judged. Case 5: restarts 2 s apart, the largest gap of the site file.

--- a/review/kit/client.go
+++ b/review/kit/client.go
@@ -16,11 +16,13 @@
 
 // reply is what a client saw of one attempt.
 type reply struct {
-	status  int
-	header  http.Header
-	body    []byte
-	err     error
-	took    time.Duration
+	status int
+	header http.Header
+	body   []byte
+	err    error
+	took   time.Duration
+	// sending is the part of took until the request was sent.
+	sending time.Duration
 	machine *machine
 }
 
@@ -80,6 +82,7 @@
 	if _, err = conn.Write(q.head()); err == nil && len(q.body) > 0 {
 		_, err = conn.Write(q.body)
 	}
+	found.sending = time.Since(started)
 	var response *http.Response
 	if err == nil {
 		response, err = http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: q.method})
@@ -94,19 +97,19 @@
 }
 
 // keptLoad sends requests on kept connections, each with one request at a time, until the context ends. A connection
-// that breaks is replaced by a new one. done gets the outcomes of requests that were not the first of their connection.
-func (w *world) keptLoad(ctx context.Context, wg *sync.WaitGroup, perSecond float64, connections int, next func() *request, done func(outcome)) {
+// that breaks is replaced by a new one. faster says how many times as many there are now. done gets the outcomes of requests that were not the first of their connection.
+func (w *world) keptLoad(ctx context.Context, wg *sync.WaitGroup, perSecond float64, connections int, faster func() float64, next func() *request, done func(outcome)) {
 	for range connections {
 		wg.Go(func() {
 			for ctx.Err() == nil {
-				w.keepConnection(ctx, float64(connections)/perSecond, next, done)
+				w.keepConnection(ctx, float64(connections)/perSecond, faster, next, done)
 				pause(ctx, 100*time.Millisecond)
 			}
 		})
 	}
 }
 
-func (w *world) keepConnection(ctx context.Context, meanPause float64, next func() *request, done func(outcome)) {
+func (w *world) keepConnection(ctx context.Context, meanPause float64, faster func() float64, next func() *request, done func(outcome)) {
 	m := w.pick()
 	conn, err := net.DialTimeout("tcp", m.address(portListen), time.Second)
 	if err != nil {
@@ -115,7 +118,7 @@
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for n := 0; ; n++ {
-		pause(ctx, time.Duration(rand.ExpFloat64()*meanPause*float64(time.Second)))
+		pause(ctx, time.Duration(rand.ExpFloat64()*meanPause/faster()*float64(time.Second)))
 		if ctx.Err() != nil {
 			return
 		}
--- a/review/kit/late_rejection.go
+++ b/review/kit/late_rejection.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// The doses are those of the users' small deployment: garble "extra late" with share 0.6 and x 0.03 for 5 s, and
+	// The doses are those of the users' small deployment: garble "extra late" with share 0.6 (16 of 27 servers) and x 0.03 for 5 s, and
 	// srv_grey "shed all" with x 0.55.
-	extraServers = 0.6
+	extraServers = 16
 	extraAnswers = 0.03
 	shedShare    = 0.55
 )
@@ -21,8 +21,10 @@
 // late, where the next answer is expected. A request that may run once must not run twice.
 func lateRejection(w *world) (bool, error) {
 	var active atomic.Bool
-	err := w.addServers("subasta", 27, 4, 8, usualWork(140*time.Millisecond), func(s *server) {
-		garbles := rand.Float64() < extraServers
+	count := 0
+	err := w.addServers("subasta", subastaServers, 4, 8, usualWork(140*time.Millisecond), func(s *server) {
+		count++
+		garbles := count <= extraServers
 		s.intercept = func(s *server, c *call) bool {
 			if !active.Load() || rand.Float64() >= shedShare {
 				return false
@@ -51,11 +53,11 @@
 		return false, err
 	}
 	time.Sleep(3 * time.Second)
-	ctx, cancel := context.WithTimeout(w.ctx, 64*time.Second)
+	ctx, cancel := context.WithTimeout(w.ctx, 82*time.Second)
 	defer cancel()
 	if w.trouble {
 		go func() {
-			for range 7 {
+			for range 9 {
 				pause(ctx, 3*time.Second)
 				w.rec.log("trouble begins")
 				active.Store(true)
@@ -69,8 +71,8 @@
 	var prices, reserves counts
 	var mu sync.Mutex
 	var unsafe []outcome
-	w.load(ctx, &wg, 130, func() *request { return get(lotPrice, newID()) }, prices.add)
-	w.load(ctx, &wg, 55, func() *request { return post(lotReserve, newID(), make([]byte, 1200)) }, func(o outcome) {
+	w.load(ctx, &wg, 162, func() *request { return get(lotPrice, newID()) }, prices.add)
+	w.load(ctx, &wg, 68, func() *request { return post(lotReserve, newID(), make([]byte, 1200)) }, func(o outcome) {
 		reserves.add(o)
 		mu.Lock()
 		unsafe = append(unsafe, o)
@@ -91,7 +93,7 @@
 		}
 	}
 	w.rec.say("lookups by status %v, reservations by status %v; reservations that ran twice: %d, that ran and were refused: %d", prices.status, reserves.status, twice, refused)
-	return twice == 0 && refused == 0, nil
+	return twice == 0, nil
 }
 
 // promises reports whether a status says that a request has not run.
--- a/review/kit/poison.go
+++ b/review/kit/poison.go
@@ -40,14 +40,14 @@
 	defer cancel()
 	if w.trouble {
 		go func() {
-			pause(ctx, 8*time.Second)
-			for round := range 3 {
+			pause(ctx, 5*time.Second)
+			for round := range 5 {
 				w.rec.log("round %d of stops and starts", round+1)
 				for _, m := range w.machines {
 					m.signal(syscall.SIGTERM)
-					pause(ctx, 4*time.Second)
+					pause(ctx, 2*time.Second)
 				}
-				pause(ctx, 4*time.Second)
+				pause(ctx, 7*time.Second)
 			}
 		}()
 	}
--- a/review/kit/silent.go
+++ b/review/kit/silent.go
@@ -36,8 +36,8 @@
 	ctx, cancel := context.WithTimeout(w.ctx, 50*time.Second)
 	defer cancel()
 	type change struct {
-		silent, acked time.Time
-		old, new      string
+		silent, sent, acked time.Time
+		old, new            string
 	}
 	var mu sync.Mutex
 	var changes []change
@@ -58,7 +58,7 @@
 		})
 	}
 	move := func() change {
-		c := change{old: r.service}
+		c := change{old: r.service, sent: time.Now()}
 		r.service = map[string]string{"subasta": "despacho", "despacho": "subasta"}[r.service]
 		version += 3
 		w.configure(version, r, lotReserve)
@@ -88,7 +88,7 @@
 			served++
 		}
 		for n, c := range changes {
-			if n+1 < len(changes) && o.sentAt.After(changes[n+1].acked) {
+			if n+1 < len(changes) && o.sentAt.Add(o.reply.took).After(changes[n+1].sent) {
 				continue
 			}
 			late := o.sentAt.Sub(c.acked) - configApply
--- a/review/kit/unread.go
+++ b/review/kit/unread.go
@@ -40,23 +40,25 @@
 		return false, err
 	}
 	for n, s := range w.servers {
-		slow[s] = float64(n) < slowShare*float64(len(w.servers))
+		slow[s] = n < int(slowShare*float64(len(w.servers)))
 	}
 	w.configure(7, lotPrice, lotReserve)
 	if err := w.startMachines(6, 804); err != nil {
 		return false, err
 	}
 	time.Sleep(3 * time.Second)
-	ctx, cancel := context.WithTimeout(w.ctx, 25*time.Second)
+	ctx, cancel := context.WithTimeout(w.ctx, 46*time.Second)
 	defer cancel()
 	if w.trouble {
 		go func() {
-			pause(ctx, 5*time.Second)
-			active.Store(true)
-			w.rec.log("%d of %d servers turn slow", int(slowShare*float64(len(w.servers))+0.99), len(w.servers))
-			pause(ctx, 9*time.Second)
-			active.Store(false)
-			w.rec.log("they are as usual again")
+			for range 3 {
+				pause(ctx, 5*time.Second)
+				active.Store(true)
+				w.rec.log("%d of %d servers turn slow", int(slowShare*float64(len(w.servers))), len(w.servers))
+				pause(ctx, 9*time.Second)
+				active.Store(false)
+				w.rec.log("they are as usual again")
+			}
 		}()
 	}
 	var wg sync.WaitGroup
@@ -77,11 +79,13 @@
 	for _, o := range all {
 		status[o.reply.status]++
 		longest = max(longest, o.reply.took)
-		if o.reply.took <= timeout {
+		// The time runs from the last byte that the client has sent.
+		waited := o.reply.took - o.reply.sending
+		if waited <= timeout {
 			continue
 		}
 		open++
-		if o.reply.took > timeout+answerSlack {
+		if waited > timeout+answerSlack {
 			late++
 		}
 	}
--- a/review/kit/world.go
+++ b/review/kit/world.go
@@ -168,6 +168,9 @@
 	})
 }
 
+// subastaServers is how many servers the service subasta of the small deployment has.
+const subastaServers = 27
+
 // The routes of the users' small deployment.
 var (
 	lotPrice   = route{"lot-price", "feria.example", "/price/", "safe", "subasta", 1000, 300, 2, 2}
