Take all messages' memory from one account, and tell the collector the limit

Cause: the limit was on bytes read, a quarter of the memory for answers and a quarter for requests. Buffers that double take up to three times what they hold while they grow, and the collector, without a limit, lets the process grow to twice what is in use. Nobody decided who is turned away.

Ruled out: connections that go on reading after their request has ended (they end with it, TestEndlessResponses).

Change: core/cvmemory counts what connections, requests and answers take, until their callers have them, and decides who gives way; io/balancers/cvbodies reads bodies into chunks that are used again if the body is dropped; SetMemoryLimit follows the settings. Related: callers' bodies take from the same account, answers to other requests are discarded as they are read, a told length beyond the limit is refused unread.

TestBodyMemory and TestResponseMemory set the same bounds through the account: half of it is one caller's share, so it is twice the former figure.

--- a/claims.go
+++ b/claims.go
@@ -1,6 +1,7 @@
 package comfreyvale
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"time"
@@ -105,12 +106,12 @@
 type Answer struct {
 	status int
 	header http.Header
-	body   []byte
+	parts  [][]byte
 }
 
-// NewAnswer returns an answer with its end-to-end headers.
-func NewAnswer(status int, header http.Header, body []byte) Answer {
-	return Answer{status: status, header: header, body: body}
+// NewAnswer returns an answer with its end-to-end headers and the parts of its body.
+func NewAnswer(status int, header http.Header, body ...[]byte) Answer {
+	return Answer{status: status, header: header, parts: body}
 }
 
 // Status returns the HTTP status code.
@@ -119,5 +120,22 @@
 // Header returns the end-to-end headers.
 func (a Answer) Header() http.Header { return a.header }
 
-// Body returns the complete body.
-func (a Answer) Body() []byte { return a.body }
+// Body returns the complete body, copied if it has several parts.
+func (a Answer) Body() []byte {
+	if len(a.parts) == 1 {
+		return a.parts[0]
+	}
+	return bytes.Join(a.parts, nil)
+}
+
+// Parts returns the parts of the body, which must not be modified.
+func (a Answer) Parts() [][]byte { return a.parts }
+
+// Size returns the length of the body in bytes.
+func (a Answer) Size() int {
+	size := 0
+	for _, p := range a.parts {
+		size += len(p)
+	}
+	return size
+}
--- a/core/cvrequest/cvrequest.go
+++ b/core/cvrequest/cvrequest.go
@@ -10,12 +10,12 @@
 	target string
 	host   string
 	header http.Header
-	body   []byte
+	parts  [][]byte
 }
 
-// New returns a request. The target is unchanged, byte for byte, and the header holds only the end-to-end headers.
-func New(id, method, target, host string, header http.Header, body []byte) *Request {
-	return &Request{id: id, method: method, target: target, host: host, header: header, body: body}
+// New returns a request with the parts of its body. The target is unchanged, byte for byte, and the header holds only the end-to-end headers.
+func New(id, method, target, host string, header http.Header, body ...[]byte) *Request {
+	return &Request{id: id, method: method, target: target, host: host, header: header, parts: body}
 }
 
 // ID returns the id that the caller gave the request.
@@ -33,5 +33,14 @@
 // Header returns the end-to-end headers, which must not be modified.
 func (r *Request) Header() http.Header { return r.header }
 
-// Body returns the complete body, which must not be modified.
-func (r *Request) Body() []byte { return r.body }
+// Parts returns the parts of the complete body, which must not be modified.
+func (r *Request) Parts() [][]byte { return r.parts }
+
+// Size returns the length of the body in bytes.
+func (r *Request) Size() int {
+	size := 0
+	for _, p := range r.parts {
+		size += len(p)
+	}
+	return size
+}
--- a/io/balancers/cvnode/attempts.go
+++ b/io/balancers/cvnode/attempts.go
@@ -186,7 +186,7 @@
 	e.countLimits(waiter)
 	ctx, span := e.node.Tracer.Start(ctx, "try", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
-	a.response, a.err = e.node.pool.Exchange(ctx, waiter.Instance(), e.connectionLimit(), e.tracedMessage(ctx), e.deadline, !e.route.Idempotent())
+	a.response, a.err = e.node.pool.Exchange(ctx, waiter.Instance(), e.connectionLimit(), e.tracedMessage(ctx), e.memory, e.deadline, !e.route.Idempotent())
 	a.outcome = e.classify(ctx, a.response, a.err)
 	span.SetAttributes(attribute.String("upstream", a.upstream()), attribute.String("outcome", a.outcome.String()))
 	result := a.outcome.result()
@@ -204,7 +204,7 @@
 	e.reportLoad(a.upstream(), a.outcome, a.response)
 	e.node.recordLimit(e.slots, a.waiter.Instance(), a.response, a.startedAt)
 	e.node.metrics.AttemptEnded(e.group, a.outcome.String())
-	e.node.metrics.ResponseReceived(a.waiter.Instance().DataCentre() == e.node.Settings.DataCentre(), len(a.response.Body()))
+	e.node.metrics.ResponseReceived(a.waiter.Instance().DataCentre() == e.node.Settings.DataCentre(), a.response.Size())
 	switch a.outcome {
 	case answered:
 		e.slots.RecordDuration(now, e.route.Name(), now.Sub(a.startedAt))
@@ -223,7 +223,7 @@
 	}
 	header := e.message.Header().Clone()
 	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(header))
-	return cvrequest.New(e.message.ID(), e.message.Method(), e.message.Target(), e.message.Host(), header, e.message.Body())
+	return cvrequest.New(e.message.ID(), e.message.Method(), e.message.Target(), e.message.Host(), header, e.message.Parts()...)
 }
 
 // selectionFields returns log fields with the data on which the choice of the upstream was based.
--- a/io/balancers/cvnode/build.go
+++ b/io/balancers/cvnode/build.go
@@ -8,6 +8,8 @@
 
 	"comfreyvale/core/cvbudget"
 	"comfreyvale/core/cvlimits"
+	"comfreyvale/core/cvmemory"
+	"comfreyvale/io/balancers/cvbodies"
 	"comfreyvale/io/callers/cvhttpserver"
 	"comfreyvale/io/operators/cvnodemetrics"
 	"comfreyvale/io/peers/cvrelay"
@@ -18,10 +20,6 @@
 const (
 	// megabyte is the unit in which the settings give the VM's memory.
 	megabyte = 1 << 20
-	// All request bodies in progress together may use the VM's memory divided by bodyMemoryDivisor, and all response
-	// bodies that are being received the VM's memory divided by responseMemoryDivisor.
-	bodyMemoryDivisor     = 4
-	responseMemoryDivisor = 4
 	// maxResponseBytes is the maximum size of one response body, which is held in memory until it is complete.
 	maxResponseBytes = 64 << 20
 )
@@ -38,16 +36,18 @@
 	n.crashes = make(map[crash]time.Time)
 	n.splitCredits = make(map[string]map[string]float64)
 	n.metrics = cvnodemetrics.New()
-	memory := int64(n.Settings.MemoryMB()) * megabyte
+	n.memory = &cvbodies.Memory{OnTurnedAway: n.messageTurnedAway}
+	n.memory.SetMachineMemory(int64(n.Settings.MemoryMB()) * megabyte)
+	n.registerMemoryMetrics()
 	n.pool = &cvpool.Pool{
-		HeaderNames: n.HeaderNames, MaxResponseBytes: maxResponseBytes, ResponseMemory: memory / responseMemoryDivisor,
+		HeaderNames: n.HeaderNames, MaxResponseBytes: maxResponseBytes,
 		OnOpen: func(string) { n.metrics.ConnectionOpened() }, OnDrop: n.responseDropped,
 	}
 	n.news = n.newNews()
 	n.routesWatch, n.upstreamsWatch = n.newWatches()
 	n.relay = &cvrelay.Relay{Snapshot: n.snapshot, Records: n.records}
 	n.server = &cvhttpserver.Server{
-		Handle: n.handle, Repeatable: n.repeatable, Limits: n.limits, OnRefused: n.requestRefused, BodyMemory: memory / bodyMemoryDivisor,
+		Handle: n.handle, Repeatable: n.repeatable, Limits: n.limits, OnRefused: n.requestRefused, Memory: n.memory,
 	}
 }
 
@@ -56,6 +56,20 @@
 	n.Logger.WithFields(log.Fields{"upstream": instance, "request": request, "reason": reason}).Warn("response dropped")
 }
 
+// messageTurnedAway counts and logs that a message was dropped for lack of memory.
+func (n *Node) messageTurnedAway(kind, sender string, size int64, cause error) {
+	n.metrics.TurnedAway(kind)
+	n.Logger.WithFields(log.Fields{"kind": kind, "from": sender, "bytes": size, "limitBytes": n.memory.Limit()}).WithError(cause).Warn("message dropped for lack of memory")
+}
+
+// registerMemoryMetrics registers gauges of the memory that messages take.
+func (n *Node) registerMemoryMetrics() {
+	n.metrics.RegisterGauge("message_memory_limit_bytes", "Memory that all messages together may take.", func() float64 { return float64(n.memory.Limit()) })
+	for _, kind := range []string{cvmemory.KindRequest, cvmemory.KindAnswer, cvmemory.KindConnection} {
+		n.metrics.RegisterGauge("message_memory_"+kind+"_bytes", "Memory that messages of this kind take.", func() float64 { return float64(n.memory.Used(kind)) })
+	}
+}
+
 // requestRefused logs that the server refused a request which it could not read, or had no memory for.
 func (n *Node) requestRefused(remote string, status int, cause error) {
 	n.Logger.WithFields(log.Fields{"caller": remote, "status": status}).WithError(cause).Info("request refused without being handled")
--- a/io/balancers/cvnode/cvnode.go
+++ b/io/balancers/cvnode/cvnode.go
@@ -22,6 +22,7 @@
 	"comfreyvale/core/cvrate"
 	"comfreyvale/core/cvroutes"
 	"comfreyvale/core/cvterms"
+	"comfreyvale/io/balancers/cvbodies"
 	"comfreyvale/io/balancers/cvlisteners"
 	"comfreyvale/io/callers/cvhttpserver"
 	"comfreyvale/io/operators/cvnodemetrics"
@@ -75,6 +76,7 @@
 	// The parts of the process, set by build.
 	server                      *cvhttpserver.Server
 	pool                        *cvpool.Pool
+	memory                      *cvbodies.Memory
 	metrics                     *cvnodemetrics.Metrics
 	news                        *cvnews.News
 	relay                       *cvrelay.Relay
--- a/io/balancers/cvnode/directories.go
+++ b/io/balancers/cvnode/directories.go
@@ -185,7 +185,8 @@
 	return ids[:min(len(ids), maxLoggedUpstreams)]
 }
 
-// sweep removes expired instances and crash records, and idle connections that are old or whose upstream was removed.
+// sweep removes expired instances and crash records, idle connections that are old or whose upstream was removed, and
+// unused memory.
 func (n *Node) sweep(now time.Time) {
 	n.mu.Lock()
 	expired := n.fleet.Expire(now)
@@ -194,6 +195,7 @@
 		n.updateGroups(now)
 	}
 	n.expireCrashes(now)
+	n.memory.Trim()
 	n.mu.Lock()
 	// The map is never modified: updateGroups replaces it.
 	known := n.drainingByID
--- a/io/balancers/cvnode/harness_test.go
+++ b/io/balancers/cvnode/harness_test.go
@@ -143,6 +143,8 @@
 	tracer trace.Tracer
 	// settingsFile is the settings file of new balancers; if it is empty, they don't reload their settings.
 	settingsFile string
+	// memoryMB is the memory setting of new balancers, or 0 for the default.
+	memoryMB int
 }
 
 type runningNode struct {
@@ -213,6 +215,9 @@
 	r := &runningNode{address: at(index, 0), readyAddress: at(index, 1), logs: &logRecorder{}, done: make(chan error, 1)}
 	text := fmt.Sprintf("vm: v%d\ndataCentre: dc\nlisten: %q\nready: %q\npeer: %q\nnews: %q\nseeds: [%q]\ndirectory: \"127.0.0.1:1\"\n"+
 		"terms:\n  stop: 6s\n  notice: 100ms\n  retryRatio: 0.2\n  retrySlack: 240\n", index, r.address, r.readyAddress, at(index, 2), at(index, 3), at(0, 2))
+	if d.memoryMB > 0 {
+		text += fmt.Sprintf("memory: %d\n", d.memoryMB)
+	}
 	settings, err := cvnodesettings.Parse("test", []byte(text))
 	require.NoError(d.t, err)
 	if d.settingsFile != "" {
--- a/io/balancers/cvnode/request.go
+++ b/io/balancers/cvnode/request.go
@@ -19,6 +19,7 @@
 	"comfreyvale/core/cvfault"
 	"comfreyvale/core/cvrequest"
 	"comfreyvale/core/cvroute"
+	"comfreyvale/io/balancers/cvbodies"
 	"comfreyvale/io/callers/cvheader"
 	"comfreyvale/io/callers/cvhttpserver"
 	"comfreyvale/io/upstreams/cvslots"
@@ -45,6 +46,8 @@
 	node    *Node
 	route   *cvroute.Route
 	message *cvrequest.Request
+	// memory holds the request and its answers.
+	memory  *cvbodies.Holder
 	arrived time.Time
 	// deadline is when the caller stops waiting or the route's timeout ends, whichever is first.
 	deadline time.Time
@@ -79,7 +82,7 @@
 	return !ok || route.Idempotent()
 }
 
-func (n *Node) handle(ctx context.Context, request *http.Request, body []byte, arrived time.Time) comfreyvale.Answer {
+func (n *Node) handle(ctx context.Context, request *http.Request, body [][]byte, memory *cvbodies.Holder, arrived time.Time) comfreyvale.Answer {
 	id := request.Header.Get(n.HeaderNames.RequestID)
 	t := n.routes.Load()
 	if t == nil {
@@ -91,8 +94,8 @@
 		return comfreyvale.NewAnswer(http.StatusNotFound, http.Header{n.HeaderNames.RequestID: {id}}, nil)
 	}
 	e := &exchange{
-		node: n, route: route, arrived: arrived, deadline: arrived.Add(n.timeoutFor(request, route)),
-		message: cvrequest.New(id, request.Method, request.RequestURI, request.Host, cvheader.EndToEnd(request.Header), body),
+		node: n, route: route, memory: memory, arrived: arrived, deadline: arrived.Add(n.timeoutFor(request, route)),
+		message: cvrequest.New(id, request.Method, request.RequestURI, request.Host, cvheader.EndToEnd(request.Header), body...),
 		group:   n.nextGroup(route),
 	}
 	if evidence, quarantined := n.quarantined(time.Now(), e.message); quarantined {
--- a/io/balancers/cvnode/suspects.go
+++ b/io/balancers/cvnode/suspects.go
@@ -39,7 +39,9 @@
 		// Writes to a digest never fail.
 		_, _ = fmt.Fprintf(digest, "%d:%s", len(part), part)
 	}
-	_, _ = digest.Write(m.Body())
+	for _, part := range m.Parts() {
+		_, _ = digest.Write(part)
+	}
 	return digest.Sum64()
 }
 
--- a/io/callers/cvhttpserver/connection.go
+++ b/io/callers/cvhttpserver/connection.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"comfreyvale"
+	"comfreyvale/io/balancers/cvbodies"
 )
 
 const (
@@ -27,6 +27,10 @@
 	server *Server
 	conn   net.Conn
 	reader *bufio.Reader
+	// caller is the host of the remote address.
+	caller string
+	// memory holds the connection itself.
+	memory *cvbodies.Holder
 	// queue holds the exchanges whose responses are not sent yet, in the order of their requests.
 	queue chan *exchange
 	// writeSideClosed is set by writeLoop after the last response, and read when writeLoop has returned.
@@ -44,9 +48,7 @@
 }
 
 type exchange struct {
-	request  *http.Request
-	body     []byte
-	arrived  time.Time
+	received
 	response comfreyvale.Answer
 	// last is true if the connection is closed after the response.
 	last bool
@@ -59,23 +61,31 @@
 	previous *exchange
 }
 
-func newExchange(request *http.Request, body []byte, arrived time.Time, previous *exchange) *exchange {
-	return &exchange{
-		request: request, body: body, arrived: arrived, previous: previous,
-		done: make(chan struct{}), flushed: make(chan struct{}),
-	}
+func newExchange(r received, previous *exchange) *exchange {
+	return &exchange{received: r, previous: previous, done: make(chan struct{}), flushed: make(chan struct{})}
 }
 
 func newConnection(server *Server, conn net.Conn) *connection {
 	size := server.Limits().MaxHeaderBytes() + headSlack
+	caller := callerOf(conn)
 	return &connection{
-		server: server, conn: conn, reader: bufio.NewReaderSize(conn, size),
+		server: server, conn: conn, reader: bufio.NewReaderSize(conn, size), caller: caller, memory: server.Memory.Holder(caller),
 		queue: make(chan *exchange, maxPipelined), idleSince: time.Now(),
 	}
 }
 
+// callerOf returns the host of the remote address of a connection.
+func callerOf(conn net.Conn) string {
+	address := conn.RemoteAddr().String()
+	if host, _, err := net.SplitHostPort(address); err == nil {
+		return host
+	}
+	return address
+}
+
 // serve runs until the connection is closed.
 func (c *connection) serve() {
+	defer c.memory.Close()
 	defer c.server.remove(c)
 	ctx, end := context.WithCancelCause(context.Background())
 	defer end(nil)
@@ -104,21 +114,22 @@
 			}
 			return
 		}
-		request, body, arrived, reqErr := c.receive()
+		r, reqErr := c.receive()
 		if reqErr == errDisconnected {
+			r.memory.Close()
 			cancel()
 			return
 		}
 		if !c.beginRequest() {
-			c.server.bodyBytes.Add(-int64(len(body)))
+			r.memory.Close()
 			return
 		}
-		e := newExchange(request, body, arrived, previous)
+		e := newExchange(r, previous)
 		if reqErr != nil {
 			c.refuse(e, reqErr)
 			return
 		}
-		e.last = request.Close
+		e.last = e.request.Close
 		go c.handle(ctx, e)
 		select {
 		case c.queue <- e:
@@ -205,9 +216,9 @@
 	return true
 }
 
-// endRequest marks a request as no longer in progress and releases the memory of its body.
+// endRequest marks a request as no longer in progress and releases its memory.
 func (c *connection) endRequest(e *exchange) {
-	c.server.bodyBytes.Add(-int64(len(e.body)))
+	e.memory.Close()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
@@ -234,5 +245,5 @@
 		}
 	}
 	e.previous = nil
-	e.response = c.server.Handle(ctx, e.request, e.body, e.arrived)
+	e.response = c.server.Handle(ctx, e.request, e.body, e.memory, e.arrived)
 }
--- a/io/callers/cvhttpserver/cvhttpserver.go
+++ b/io/callers/cvhttpserver/cvhttpserver.go
@@ -13,32 +13,39 @@
 
 	"comfreyvale"
 	"comfreyvale/core/cvlimits"
+	"comfreyvale/core/cvmemory"
+	"comfreyvale/io/balancers/cvbodies"
 )
 
-// acceptPause is the pause after a failed accept. Without it, a lack of file descriptors would cause a busy loop.
-const acceptPause = 10 * time.Millisecond
+const (
+	// acceptPause is the pause after a failed accept. Without it, a lack of file descriptors would cause a busy loop.
+	acceptPause = 10 * time.Millisecond
+	// connectionBytes is the memory that a connection takes beside its read buffer, mostly for the stacks of two
+	// goroutines.
+	connectionBytes = 16 << 10
+)
 
 // Server is an HTTP/1.1 server. It handles the requests of one connection concurrently and sends the responses in
 // order. The functions in its fields are called concurrently.
 type Server struct {
 	// Handle returns the response to a request. Status 0 closes the connection without a response. The context is
-	// cancelled with the cause ErrCallerDisconnected when the caller disconnects.
-	Handle func(ctx context.Context, request *http.Request, body []byte, arrived time.Time) comfreyvale.Answer
+	// cancelled with the cause ErrCallerDisconnected when the caller disconnects. The holder holds the body, and the
+	// response as long as it takes to send it.
+	Handle func(ctx context.Context, request *http.Request, body [][]byte, memory *cvbodies.Holder, arrived time.Time) comfreyvale.Answer
 	// Repeatable reports whether a request may be handled before the earlier requests of its connection are answered.
 	Repeatable func(request *http.Request) bool
 	// Limits returns the limits on requests and connections of callers.
 	Limits func() cvlimits.Limits
-	// BodyMemory limits the memory for the bodies of all requests in progress, in bytes. A request that exceeds it is
-	// refused with status 503.
-	BodyMemory int64
-	// OnRefused is called for each request that is refused without a call of Handle, and for each failed accept, with
-	// an empty remote address and status 0.
+	// Memory holds connections, requests and responses. A request for which it has no room is refused with status 503, a
+	// connection is closed.
+	Memory *cvbodies.Memory
+	// OnRefused is called for each request that is refused without a call of Handle, for each connection that is closed
+	// for lack of memory, with status 0, and for each failed accept, with an empty remote address and status 0.
 	OnRefused func(remote string, status int, cause error)
 
 	mu          sync.Mutex
 	connections map[*connection]struct{}
 	inFlight    atomic.Int64
-	bodyBytes   atomic.Int64
 	stopping    atomic.Bool
 }
 
@@ -56,6 +63,11 @@
 			continue
 		}
 		c := newConnection(s, conn)
+		if err := c.memory.Reserve(cvmemory.KindConnection, c.caller, int64(c.reader.Size()+connectionBytes)); err != nil {
+			s.OnRefused(conn.RemoteAddr().String(), 0, err)
+			conn.Close()
+			continue
+		}
 		s.add(c)
 		go c.serve()
 	}
--- a/io/callers/cvhttpserver/cvhttpserver_test.go
+++ b/io/callers/cvhttpserver/cvhttpserver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -17,12 +18,19 @@
 
 	"comfreyvale"
 	"comfreyvale/core/cvlimits"
+	"comfreyvale/io/balancers/cvbodies"
 	"comfreyvale/io/callers/cvhttpserver"
 )
 
-// bodyMemory is the Server.BodyMemory of these tests, in bytes.
+// bodyMemory is the memory for the messages of one caller in these tests, in bytes: half of that for all.
 const bodyMemory = 1 << 20
 
+func newMemory() *cvbodies.Memory {
+	m := &cvbodies.Memory{}
+	m.SetLimit(2 * bodyMemory)
+	return m
+}
+
 // gate handles requests. Requests to a path that begins with /held block until the test closes the channel of the path.
 type gate struct {
 	mu     sync.Mutex
@@ -46,7 +54,7 @@
 	return g.opened[path]
 }
 
-func (g *gate) handle(ctx context.Context, request *http.Request, body []byte, _ time.Time) comfreyvale.Answer {
+func (g *gate) handle(ctx context.Context, request *http.Request, body [][]byte, _ *cvbodies.Holder, _ time.Time) comfreyvale.Answer {
 	g.started <- request.RequestURI
 	if strings.HasPrefix(request.RequestURI, "/held") {
 		select {
@@ -59,14 +67,14 @@
 	if request.RequestURI == "/broken" {
 		return comfreyvale.Answer{}
 	}
-	return comfreyvale.NewAnswer(http.StatusOK, http.Header{"Got": {request.Method}}, []byte("answer to "+request.RequestURI+" "+string(body)))
+	return comfreyvale.NewAnswer(http.StatusOK, http.Header{"Got": {request.Method}}, []byte("answer to "+request.RequestURI+" "+string(bytes.Join(body, nil))))
 }
 
 func serve(t *testing.T, limits cvlimits.Limits) (*cvhttpserver.Server, *gate, string) {
 	g := newGate()
 	s := &cvhttpserver.Server{
 		Handle: g.handle, Repeatable: func(r *http.Request) bool { return r.Method == http.MethodGet },
-		Limits: func() cvlimits.Limits { return limits }, OnRefused: func(string, int, error) {}, BodyMemory: bodyMemory,
+		Limits: func() cvlimits.Limits { return limits }, OnRefused: func(string, int, error) {}, Memory: newMemory(),
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -294,18 +302,18 @@
 		part = max(0, min(part, len(bytes)))
 		handled := make(chan string, 1000)
 		s := &cvhttpserver.Server{
-			Handle: func(_ context.Context, r *http.Request, _ []byte, _ time.Time) comfreyvale.Answer {
+			Handle: func(_ context.Context, r *http.Request, _ [][]byte, _ *cvbodies.Holder, _ time.Time) comfreyvale.Answer {
 				return comfreyvale.NewAnswer(http.StatusOK, http.Header{"Target": {fmt.Sprintf("%q", r.RequestURI)}}, nil)
 			},
 			Repeatable: func(r *http.Request) bool {
 				return true
 			},
-			Limits: cvlimits.Default, OnRefused: func(string, int, error) {}, BodyMemory: bodyMemory,
+			Limits: cvlimits.Default, OnRefused: func(string, int, error) {}, Memory: newMemory(),
 		}
 		handle := s.Handle
-		s.Handle = func(ctx context.Context, r *http.Request, body []byte, now time.Time) comfreyvale.Answer {
+		s.Handle = func(ctx context.Context, r *http.Request, body [][]byte, memory *cvbodies.Holder, now time.Time) comfreyvale.Answer {
 			handled <- fmt.Sprintf("%q", r.RequestURI)
-			return handle(ctx, r, body, now)
+			return handle(ctx, r, body, memory, now)
 		}
 		// A Unix socket is used because the many runs would exhaust the TCP ports.
 		listener, err := net.Listen("unix", filepath.Join(t.TempDir(), "s"))
--- a/io/callers/cvhttpserver/linger_test.go
+++ b/io/callers/cvhttpserver/linger_test.go
@@ -73,7 +73,7 @@
 			g := newGate()
 			s := &cvhttpserver.Server{
 				Handle: g.handle, Repeatable: func(*http.Request) bool { return true },
-				Limits: cvlimits.Default, OnRefused: func(string, int, error) {}, BodyMemory: bodyMemory,
+				Limits: cvlimits.Default, OnRefused: func(string, int, error) {}, Memory: newMemory(),
 			}
 			inner, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
--- a/io/callers/cvhttpserver/request.go
+++ b/io/callers/cvhttpserver/request.go
@@ -13,18 +13,13 @@
 	"github.com/pkg/errors"
 
 	"comfreyvale"
+	"comfreyvale/core/cvfault"
+	"comfreyvale/core/cvmemory"
+	"comfreyvale/io/balancers/cvbodies"
 )
 
-const (
-	// headSlack is the size of a read buffer beyond the limit for the request line and headers, in bytes.
-	headSlack = 4 << 10
-	// initialBodySize is the first buffer size, in bytes, for a body of unknown length or a large one, which may never
-	// arrive.
-	initialBodySize = 4 << 10
-	// largeBodySize is the size, in bytes, above which a body's buffer is not allocated at once but grows with the
-	// body.
-	largeBodySize = 64 << 10
-)
+// headSlack is the size of a read buffer beyond the limit for the request line and headers, in bytes.
+const headSlack = 4 << 10
 
 // requestError is the reason why a request is rejected, with the status of the connection's last response.
 type requestError struct {
@@ -41,78 +36,64 @@
 	return &requestError{status: status, cause: errors.New(text)}
 }
 
-// receive reads one request with its complete body, and returns its arrival time.
-func (c *connection) receive() (*http.Request, []byte, time.Time, *requestError) {
-	arrived := time.Now()
+// received is a request with its complete body.
+type received struct {
+	request *http.Request
+	body    [][]byte
+	// memory holds the body, and later the answers to the request.
+	memory  *cvbodies.Holder
+	arrived time.Time
+}
+
+// receive reads one request with its complete body. The memory is set also if it fails.
+func (c *connection) receive() (received, *requestError) {
+	r := received{memory: c.server.Memory.Holder(c.caller), arrived: time.Now()}
 	limits := c.server.Limits()
-	c.conn.SetReadDeadline(arrived.Add(limits.HeaderTimeout()))
+	c.conn.SetReadDeadline(r.arrived.Add(limits.HeaderTimeout()))
 	if reqErr := c.awaitHead(limits.MaxHeaderBytes()); reqErr != nil {
-		return nil, nil, arrived, reqErr
+		return r, reqErr
 	}
 	request, err := http.ReadRequest(c.reader)
 	if err != nil {
-		return nil, nil, arrived, newRequestError(http.StatusBadRequest, "the request cannot be read: "+err.Error())
+		return r, newRequestError(http.StatusBadRequest, "the request cannot be read: "+err.Error())
 	}
 	if request.Host == "" {
-		return nil, nil, arrived, newRequestError(http.StatusBadRequest, "the request names no host")
+		return r, newRequestError(http.StatusBadRequest, "the request names no host")
 	}
+	r.request = request
 	if request.Body == nil || request.Body == http.NoBody {
-		return request, nil, arrived, nil
+		return r, nil
 	}
 	if request.ContentLength > limits.MaxBodyBytes() {
-		return nil, nil, arrived, newRequestError(http.StatusRequestEntityTooLarge, "the body is too long")
+		return r, newRequestError(http.StatusRequestEntityTooLarge, "the body is too long")
 	}
-	c.conn.SetReadDeadline(arrived.Add(bodyTimeout))
+	c.conn.SetReadDeadline(r.arrived.Add(bodyTimeout))
 	if strings.EqualFold(request.Header.Get("Expect"), "100-continue") && c.idle() {
 		// The error is ignored: a caller that does not get this response sends the body after a while.
 		_, _ = c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
-	body, reqErr := c.readBody(request, limits.MaxBodyBytes())
-	return request, body, arrived, reqErr
-}
-
-// errBodyMemoryFull means that the bodies in progress exceed Server.BodyMemory.
-var errBodyMemoryFull = errors.New("request bodies exceed the body memory")
-
-// countingReader adds the bytes that it reads to the server's body memory in use.
-type countingReader struct {
-	reader io.Reader
-	server *Server
+	var reqErr *requestError
+	r.body, reqErr = c.readBody(r, limits.MaxBodyBytes())
+	return r, reqErr
 }
 
-// Read returns errBodyMemoryFull if the body memory is exceeded.
-func (r countingReader) Read(buffer []byte) (int, error) {
-	n, err := r.reader.Read(buffer)
-	if r.server.bodyBytes.Add(int64(n)) > r.server.BodyMemory {
-		return n, errBodyMemoryFull
-	}
-	return n, err
-}
-
-// readBody reads a complete body. Its memory is released by endRequest, or at once if the request is refused.
-func (c *connection) readBody(request *http.Request, limit int64) ([]byte, *requestError) {
-	size := request.ContentLength
-	if size < 0 || size > largeBodySize {
-		size = initialBodySize
-	}
-	body := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
-	n, err := io.Copy(body, countingReader{io.LimitReader(request.Body, limit+1), c.server})
-	if n > limit || err != nil {
-		c.server.bodyBytes.Add(-n)
-	}
+// readBody reads a complete body.
+func (c *connection) readBody(r received, limit int64) ([][]byte, *requestError) {
+	abort := func() { c.conn.SetReadDeadline(time.Now()) }
+	body, err := r.memory.Receive(r.request.Body, cvmemory.KindRequest, c.caller, r.request.ContentLength, limit, abort)
 	switch {
-	case errors.Is(err, errBodyMemoryFull):
+	case err == nil:
+		return body, nil
+	case cvfault.KindOf(err) == comfreyvale.KindExhausted:
 		return nil, &requestError{status: http.StatusServiceUnavailable, cause: err}
-	case n > limit:
+	case cvfault.KindOf(err) == comfreyvale.KindLimited:
 		return nil, newRequestError(http.StatusRequestEntityTooLarge, "the body is too long")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, newRequestError(http.StatusRequestTimeout, "the body took too long")
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		return nil, errDisconnected
-	case err != nil:
-		return nil, newRequestError(http.StatusBadRequest, "the body cannot be read: "+err.Error())
 	}
-	return body.Bytes(), nil
+	return nil, newRequestError(http.StatusBadRequest, "the body cannot be read: "+err.Error())
 }
 
 // awaitHead waits until the buffer holds the request line and headers. It rejects errors that http.ReadRequest accepts.
@@ -197,8 +178,8 @@
 // contentLength returns the length of the body or, if it is empty, as for a HEAD request, the value of the
 // Content-Length header.
 func contentLength(response comfreyvale.Answer) int {
-	if length, err := strconv.Atoi(response.Header().Get("Content-Length")); err == nil && len(response.Body()) == 0 {
+	if length, err := strconv.Atoi(response.Header().Get("Content-Length")); err == nil && response.Size() == 0 {
 		return length
 	}
-	return len(response.Body())
+	return response.Size()
 }
--- a/io/callers/cvhttpserver/writing.go
+++ b/io/callers/cvhttpserver/writing.go
@@ -34,10 +34,12 @@
 		return false
 	}
 	last := c.closesAfter(e)
-	c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	now := time.Now()
+	c.conn.SetWriteDeadline(now.Add(writeTimeout))
+	e.memory.Sending(now, func() { c.conn.SetWriteDeadline(time.Now()) })
 	buffers := net.Buffers{renderHead(e.response, last)}
 	if bodyAllowed(e) {
-		buffers = append(buffers, e.response.Body())
+		buffers = append(buffers, e.response.Parts()...)
 	}
 	if _, err := buffers.WriteTo(c.conn); err != nil {
 		return false
@@ -51,7 +53,7 @@
 // bodyAllowed reports whether the response has a body to send.
 func bodyAllowed(e *exchange) bool {
 	status := e.response.Status()
-	if status == http.StatusNoContent || status == http.StatusNotModified || len(e.response.Body()) == 0 {
+	if status == http.StatusNoContent || status == http.StatusNotModified || e.response.Size() == 0 {
 		return false
 	}
 	return e.request == nil || e.request.Method != http.MethodHead
--- a/io/operators/cvnodesettings/cvnodesettings.go
+++ b/io/operators/cvnodesettings/cvnodesettings.go
@@ -23,7 +23,7 @@
 	{Path: "traceShare", Kind: cvfield.Share, Default: "1%", Min: "0%", Max: "100%", Effect: "Share of requests that are traced if the caller sends no sampling decision."},
 	{Path: "seeds", Kind: cvfield.Texts, Default: "", Pattern: cvcommonsettings.AddressPattern, Allowed: "a list of addresses", Effect: "Addresses of some other balancers, through which this VM finds all others. Their ports are ignored."},
 	{Path: "directory", Kind: cvfield.Text, Required: true, Pattern: cvcommonsettings.AddressPattern, Allowed: cvcommonsettings.AddressAllowed, Effect: "Address of the platform's log service, which holds the routes and the upstreams."},
-	{Path: "memory", Kind: cvfield.Count, Default: "512", Min: "32", Max: "1000000", Effect: "Memory of this VM in megabytes. In-flight request bodies may use a quarter of it; further requests with a body are refused."},
+	{Path: "memory", Kind: cvfield.Count, Default: "512", Min: "32", Max: "1000000", Effect: "Memory of this VM in megabytes. Connections, requests and answers may take a third of it; the garbage collector keeps the process within three quarters."},
 	{Path: "terms.stop", Kind: cvfield.Duration, Default: "6s", Min: "1s", Max: "1h", Effect: "Time from the stop signal until the platform kills the process."},
 	{Path: "terms.notice", Kind: cvfield.Duration, Default: "2500ms", Min: "0s", Max: "1m", Effect: "Time after the stop signal in which new connections are still accepted, because the platform sends them until its checks fail: two checks one second apart, plus their network delay."},
 	{Path: "terms.drain", Kind: cvfield.Duration, Default: "2s", Min: "100ms", Max: "1m", Effect: "Time within which a leaving upstream stops receiving new requests."},
--- a/io/upstreams/cvpool/connection.go
+++ b/io/upstreams/cvpool/connection.go
@@ -16,7 +16,9 @@
 
 	"comfreyvale"
 	"comfreyvale/core/cvinstance"
+	"comfreyvale/core/cvmemory"
 	"comfreyvale/core/cvrequest"
+	"comfreyvale/io/balancers/cvbodies"
 )
 
 const (
@@ -26,8 +28,6 @@
 	maxStaleResponses = 4
 	// maxHeadBytes limits the head of a response. An upstream in trouble may send bytes without end.
 	maxHeadBytes = 64 << 10
-	// bodyChunk is how much memory for a body is reserved at a time.
-	bodyChunk = 32 << 10
 )
 
 // headLimiter fails reads of a connection beyond a number of bytes while the head of a response is read.
@@ -47,6 +47,8 @@
 
 type exchange struct {
 	request *cvrequest.Request
+	// memory holds the response.
+	memory *cvbodies.Holder
 	// done is closed when answer or err is set.
 	done chan struct{}
 	// sent reports whether the request was completely written.
@@ -57,8 +59,8 @@
 	err            error
 }
 
-func newExchange(request *cvrequest.Request) *exchange {
-	return &exchange{request: request, done: make(chan struct{})}
+func newExchange(request *cvrequest.Request, memory *cvbodies.Holder) *exchange {
+	return &exchange{request: request, memory: memory, done: make(chan struct{})}
 }
 
 // connection carries one request at a time. One goroutine reads all data, so that unexpected bytes are detected before
@@ -168,11 +170,6 @@
 		return false
 	}
 	c.limiter.remaining = math.MaxInt64
-	body, err := c.readBody(response.Body)
-	if err != nil {
-		c.finish(e, comfreyvale.Answer{}, fail("exchange", comfreyvale.KindUncertain, errors.Wrap(err, "the response body cannot be read")))
-		return false
-	}
 	if response.StatusCode < http.StatusOK {
 		e.staleResponses++
 		if e.staleResponses > maxStaleResponses {
@@ -182,39 +179,43 @@
 		return true
 	}
 	if !c.matches(e, response) {
-		e.staleResponses++
-		c.pool.OnDrop(c.instance, e.request.ID(), "received a response to another request")
-		if e.staleResponses > maxStaleResponses || closesConnection(response) {
-			c.finish(e, comfreyvale.Answer{}, fail("exchange", comfreyvale.KindUncertain, errors.New("received only responses to other requests")))
-			return false
-		}
-		return true
+		return c.skip(e, response)
 	}
-	answer := comfreyvale.NewAnswer(response.StatusCode, response.Header, body)
+	body, err := c.readBody(e, response)
+	if err != nil {
+		c.finish(e, comfreyvale.Answer{}, fail("exchange", comfreyvale.KindUncertain, errors.Wrap(err, "the response body cannot be read")))
+		return false
+	}
+	answer := comfreyvale.NewAnswer(response.StatusCode, response.Header, body...)
 	c.recordKeepAlive(response.Header.Get("Keep-Alive"))
 	return c.deliver(e, answer, closesConnection(response))
 }
 
-// readBody returns a complete body. It fails if the body, or all bodies that are being received together, are too long.
-func (c *connection) readBody(from io.Reader) ([]byte, error) {
-	reserved := int64(0)
-	defer func() { c.pool.receiving.Add(-reserved) }()
-	var body bytes.Buffer
-	for {
-		if reserved += bodyChunk; c.pool.receiving.Add(bodyChunk) > c.pool.ResponseMemory {
-			return nil, errors.Errorf("the responses that are being received are longer than %d bytes", c.pool.ResponseMemory)
-		}
-		n, err := io.CopyN(&body, from, bodyChunk)
-		if int64(body.Len()) > c.pool.MaxResponseBytes {
-			return nil, errors.Errorf("the body is longer than %d bytes", c.pool.MaxResponseBytes)
-		}
-		if errors.Is(err, io.EOF) && n < bodyChunk {
-			return body.Bytes(), nil
-		}
-		if err != nil {
-			return nil, err
-		}
+// skip discards a response to another request and reports whether the connection is still usable.
+func (c *connection) skip(e *exchange, response *http.Response) bool {
+	e.staleResponses++
+	c.pool.OnDrop(c.instance, e.request.ID(), "received a response to another request")
+	if e.staleResponses > maxStaleResponses || closesConnection(response) {
+		c.finish(e, comfreyvale.Answer{}, fail("exchange", comfreyvale.KindUncertain, errors.New("received only responses to other requests")))
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, c.pool.MaxResponseBytes+1))
+	if n > c.pool.MaxResponseBytes {
+		err = errors.Errorf("the body is longer than %d bytes", c.pool.MaxResponseBytes)
+	}
+	if err != nil {
+		c.finish(e, comfreyvale.Answer{}, fail("exchange", comfreyvale.KindUncertain, errors.Wrap(err, "a response to another request cannot be read")))
+		return false
+	}
+	return true
+}
+
+// readBody returns the parts of a complete body.
+func (c *connection) readBody(e *exchange, response *http.Response) ([][]byte, error) {
+	if response.Body == http.NoBody {
+		return nil, nil
 	}
+	return e.memory.Receive(response.Body, cvmemory.KindAnswer, c.instance, response.ContentLength, c.pool.MaxResponseBytes, c.close)
 }
 
 // matches reports whether a response carries the request's ID. The ID may be missing if the response states that the
@@ -278,8 +279,8 @@
 	_ = request.Header().WriteSubset(&b, map[string]bool{p.HeaderNames.Deadline: true, p.HeaderNames.Instance: true, "Content-Length": true})
 	b.WriteString(p.HeaderNames.Deadline + ": " + strconv.FormatInt(max(remaining.Milliseconds(), 1), 10) + "\r\n")
 	b.WriteString(p.HeaderNames.Instance + ": " + instance.ID() + "\r\n")
-	if len(request.Body()) > 0 || request.Header()["Content-Length"] != nil {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(request.Body())) + "\r\n")
+	if size := request.Size(); size > 0 || request.Header()["Content-Length"] != nil {
+		b.WriteString("Content-Length: " + strconv.Itoa(size) + "\r\n")
 	}
 	b.WriteString("\r\n")
 	return b.Bytes()
--- a/io/upstreams/cvpool/cvpool.go
+++ b/io/upstreams/cvpool/cvpool.go
@@ -5,7 +5,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,6 +14,7 @@
 	"comfreyvale/core/cvheadernames"
 	"comfreyvale/core/cvinstance"
 	"comfreyvale/core/cvrequest"
+	"comfreyvale/io/balancers/cvbodies"
 	"comfreyvale/io/balancers/cvtcptimeout"
 )
 
@@ -45,8 +45,6 @@
 type Pool struct {
 	HeaderNames      cvheadernames.Names
 	MaxResponseBytes int64
-	// ResponseMemory limits the bodies of all responses that are being received together, in bytes.
-	ResponseMemory int64
 	// OnOpen is called for each new connection.
 	OnOpen func(instance string)
 	// OnDrop is called when received data is discarded because it does not belong to the current request. The request
@@ -55,8 +53,6 @@
 
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
-	// receiving is the size of the bodies that are being received.
-	receiving atomic.Int64
 }
 
 // endpoint holds the connections to one instance.
@@ -65,21 +61,21 @@
 	open int
 }
 
-// Exchange sends a request at most once and returns the complete response; nonIdempotent states that the request must
+// Exchange sends a request at most once and returns the complete response, which takes memory until the holder is closed; nonIdempotent states that the request must
 // not run twice. KindUnavailable means that no byte was sent, KindUncertain that the request may have run,
 // KindExhausted that all maxConnections connections are in use, and KindTimeout that the context ended, which closes
 // the connection.
-func (p *Pool) Exchange(ctx context.Context, instance *cvinstance.Instance, maxConnections int, request *cvrequest.Request, deadline time.Time, nonIdempotent bool) (comfreyvale.Answer, error) {
+func (p *Pool) Exchange(ctx context.Context, instance *cvinstance.Instance, maxConnections int, request *cvrequest.Request, memory *cvbodies.Holder, deadline time.Time, nonIdempotent bool) (comfreyvale.Answer, error) {
 	c, err := p.acquire(ctx, instance, maxConnections, nonIdempotent)
 	if err != nil {
 		return comfreyvale.Answer{}, err
 	}
-	e := newExchange(request)
+	e := newExchange(request, memory)
 	if !c.start(e) {
 		return comfreyvale.Answer{}, fail("exchange", comfreyvale.KindUnavailable, errors.New("the connection was closed before it was used"))
 	}
 	head := p.requestHead(instance, request, time.Until(deadline))
-	buffers := net.Buffers{head, request.Body()}
+	buffers := append(net.Buffers{head}, request.Parts()...)
 	n, err := buffers.WriteTo(c.conn)
 	c.recordSent(e, err == nil)
 	if err != nil && n == 0 {
--- a/io/upstreams/cvpool/cvpool_test.go
+++ b/io/upstreams/cvpool/cvpool_test.go
@@ -17,6 +17,7 @@
 	"comfreyvale/core/cvheadernames"
 	"comfreyvale/core/cvinstance"
 	"comfreyvale/core/cvrequest"
+	"comfreyvale/io/balancers/cvbodies"
 	"comfreyvale/io/standins/cvfaulty"
 	"comfreyvale/io/upstreams/cvpool"
 )
@@ -24,7 +25,7 @@
 var headerNames = cvheadernames.Names{RequestID: "Test-Id", Deadline: "Test-Deadline", Instance: "Test-Instance", NotRun: "Test-Not-Run", Load: "Test-Load", Signature: "Test-Signature"}
 
 func newPool() *cvpool.Pool {
-	return &cvpool.Pool{HeaderNames: headerNames, MaxResponseBytes: 1 << 20, ResponseMemory: 8 << 20, OnOpen: func(string) {}, OnDrop: func(string, string, string) {}}
+	return &cvpool.Pool{HeaderNames: headerNames, MaxResponseBytes: 1 << 20, OnOpen: func(string) {}, OnDrop: func(string, string, string) {}}
 }
 
 func startUpstream(t *testing.T) (*cvfaulty.Upstream, *cvinstance.Instance) {
@@ -44,7 +45,16 @@
 	deadline := time.Now().Add(timeout)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	return p.Exchange(ctx, instance, 8, request, deadline, nonIdempotent)
+	memory := newMemory().Holder("caller")
+	defer memory.Close()
+	return p.Exchange(ctx, instance, 8, request, memory, deadline, nonIdempotent)
+}
+
+// newMemory returns a memory for a few responses of the maximum length.
+func newMemory() *cvbodies.Memory {
+	m := &cvbodies.Memory{}
+	m.SetLimit(8 << 20)
+	return m
 }
 
 type sender func(instance *cvinstance.Instance, id string) (string, error)
@@ -219,7 +229,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(50*time.Millisecond, cancel)
 	request := cvrequest.New("gone", http.MethodGet, "/", "h", http.Header{"Test-Id": {"gone"}}, nil)
-	_, err := p.Exchange(ctx, instance, 8, request, time.Now().Add(time.Second), false)
+	_, err := p.Exchange(ctx, instance, 8, request, newMemory().Holder("caller"), time.Now().Add(time.Second), false)
 	require.Equal(t, comfreyvale.KindTimeout, cvfault.KindOf(err))
 	require.Zero(t, p.OpenCount())
 	_, err = exchange(p, instance, "next", true)
