Believe a rejection without an ID only as the first of its connection

What callers saw: a faulty upstream sent an earlier rejection once more where the next answer was expected.

Cause: the pool took any answer without an ID for the answer to the current request if it says that the request did not run, and used the connection again after one. Nothing in a rejection tells a second copy from the right one.

Ruled out: copies that arrive while nothing is in flight or glued to the first answer; those connections were closed before too.

Change: a connection is closed after a rejection without an ID, so that nothing earlier on it can have produced the one that is believed. Related: in run, a rejection on a reused connection counts only with Comfreyvale-Request-Id, and an answer with another request's ID is refused (TestRejectionsOfOtherRequests, three of six cases fail on the old code).

The stand-in now reads the body of a request that it rejects; before, the rest of it was taken for the next request.

--- a/io/standins/cvfaulty/cvfaulty.go
+++ b/io/standins/cvfaulty/cvfaulty.go
@@ -34,12 +34,17 @@
 	// ModeWrongID sends a response with the id of another request.
 	ModeWrongID = "stranger"
 	// ModeCrash runs the request and stops the upstream. A request whose target contains "poison" has the same effect
-	// in all modes but ModeNotRun and ModeEarlyResponse.
+	// in all modes but those that run nothing and ModeEarlyResponse.
 	ModeCrash = "dies"
 	// ModeHang runs the request and sends no response until the client closes the connection.
 	ModeHang = "silent"
 	// ModeNotRun rejects the request without running it.
 	ModeNotRun = "refuses"
+	// ModeNotRunRepeated rejects the request without running it. It sends the rejection once more, where the next
+	// response on the connection is expected.
+	ModeNotRunRepeated = "refuses twice"
+	// ModeMisdirectedRepeated is like ModeNotRunRepeated with status 421.
+	ModeMisdirectedRepeated = "misdirects twice"
 	// ModeServerError runs the request and responds with status 500.
 	ModeServerError = "fails"
 	// ModeEarlyResponse sends the response before it has read the request body.
@@ -58,11 +63,13 @@
 	// WorkTime is the time from the receipt of a complete request to its response.
 	WorkTime time.Duration
 
-	mu            sync.Mutex
-	mode          string
-	once          bool
-	listener      net.Listener
-	conns         map[net.Conn]bool
+	mu       sync.Mutex
+	mode     string
+	once     bool
+	listener net.Listener
+	conns    map[net.Conn]bool
+	// late holds what is sent before the next response of a connection.
+	late          map[net.Conn]string
 	acceptedConns int
 	runsByID      map[string]int
 	bodies        map[string]string
@@ -80,7 +87,7 @@
 	}
 	u.listener = listener
 	u.mode = ModeNormal
-	u.conns, u.runsByID = make(map[net.Conn]bool), make(map[string]int)
+	u.conns, u.late, u.runsByID = make(map[net.Conn]bool), make(map[net.Conn]string), make(map[string]int)
 	u.bodies, u.targets = make(map[string]string), make(map[string]string)
 	go u.accept()
 	return listener.Addr().String(), nil
@@ -185,6 +192,7 @@
 		conn.Close()
 		u.mu.Lock()
 		delete(u.conns, conn)
+		delete(u.late, conn)
 		u.mu.Unlock()
 	}()
 	reader := bufio.NewReader(conn)
@@ -211,13 +219,22 @@
 // handle reports whether the connection stays open.
 func (u *Upstream) handle(conn net.Conn, request *http.Request) bool {
 	id := request.Header.Get(u.HeaderNames.RequestID)
+	io.WriteString(conn, u.takeLate(conn))
 	mode := u.nextMode()
 	if instance := request.Header.Get(u.HeaderNames.Instance); instance != "" && instance != u.ID {
 		fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
 		return true
 	}
-	if mode == ModeNotRun {
-		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\n%sContent-Length: 0\r\n\r\n", u.HeaderNames.NotRun, u.limitHeader())
+	if rejection := u.rejection(mode); rejection != "" {
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return false
+		}
+		io.WriteString(conn, rejection)
+		if mode != ModeNotRun {
+			u.mu.Lock()
+			u.late[conn] = rejection
+			u.mu.Unlock()
+		}
 		return true
 	}
 	if mode == ModeEarlyResponse {
@@ -238,6 +255,26 @@
 	return u.writeResponse(conn, mode, id, previous)
 }
 
+// takeLate returns and forgets what is sent before the next response of a connection.
+func (u *Upstream) takeLate(conn net.Conn) string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	late := u.late[conn]
+	delete(u.late, conn)
+	return late
+}
+
+// rejection returns the response of the modes that run nothing, or nothing.
+func (u *Upstream) rejection(mode string) string {
+	switch mode {
+	case ModeNotRun, ModeNotRunRepeated:
+		return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\n%sContent-Length: 0\r\n\r\n", u.HeaderNames.NotRun, u.limitHeader())
+	case ModeMisdirectedRepeated:
+		return "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+	}
+	return ""
+}
+
 // recordRun returns the id of the request that ran before this one.
 func (u *Upstream) recordRun(request *http.Request, body string) string {
 	u.mu.Lock()
--- a/io/standins/cvupstream/cvupstream.go
+++ b/io/standins/cvupstream/cvupstream.go
@@ -127,7 +127,7 @@
 		w.Header().Set("Comfreyvale-Draining", "true")
 	}
 	if f.Drain && f.RefuseWhileDraining {
-		refuse(w, "draining")
+		refuse(w, r, "draining")
 		return
 	}
 	if f.FailFast {
@@ -135,7 +135,7 @@
 		return
 	}
 	if !u.acquireSlot(r.Context(), f) {
-		refuse(w, "no free slot")
+		refuse(w, r, "no free slot")
 		return
 	}
 	defer u.releaseSlot()
@@ -162,7 +162,9 @@
 	u.inFlight.Add(-1)
 }
 
-func refuse(w http.ResponseWriter, reason string) {
+// refuse rejects a request. The ID tells the balancer that this is no copy of an earlier rejection.
+func refuse(w http.ResponseWriter, r *http.Request, reason string) {
+	w.Header().Set("Comfreyvale-Request-Id", r.Header.Get("Comfreyvale-Request-Id"))
 	w.Header().Set("Comfreyvale-Ran", "no")
 	http.Error(w, reason, http.StatusServiceUnavailable)
 }
--- a/io/upstreams/cvexchanger/cvexchanger.go
+++ b/io/upstreams/cvexchanger/cvexchanger.go
@@ -15,6 +15,7 @@
 
 	"comfreyvale"
 	"comfreyvale/core/cvfault"
+	"comfreyvale/io/callers/cvheader"
 )
 
 const (
@@ -55,12 +56,17 @@
 
 // Exchange sends a request at most once and returns when the response header has arrived. It modifies the request's URL
 // and header; the caller must close the response body. KindUnavailable means that no byte was sent, KindUncertain that
-// the request may have been sent.
+// the request may have been sent. A response that carries the ID of another request is refused. One that states that the
+// request did not run loses this statement unless it carries the request's ID or is the first of its connection, because
+// it may be a second copy of an earlier one.
 func (e *Exchanger) Exchange(ctx context.Context, upstream comfreyvale.VM, request *http.Request) (*http.Response, error) {
 	e.once.Do(e.init)
-	var connected atomic.Bool
+	var connected, reused atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			connected.Store(true)
+			reused.Store(info.Reused)
+		},
 	})
 	request = request.WithContext(ctx)
 	request.URL.Scheme = "http"
@@ -68,7 +74,7 @@
 	sendOnce(request)
 	response, err := e.transport.RoundTrip(request)
 	if err == nil {
-		return response, nil
+		return checkIdentity(request, response, reused.Load())
 	}
 	if connected.Load() {
 		return nil, fail("exchange", comfreyvale.KindUncertain, err)
@@ -76,6 +82,19 @@
 	return nil, fail("exchange", comfreyvale.KindUnavailable, err)
 }
 
+// checkIdentity checks that a response belongs to its request, as far as it says so.
+func checkIdentity(request *http.Request, response *http.Response, reused bool) (*http.Response, error) {
+	id, want := response.Header.Get(cvheader.RequestID), request.Header.Get(cvheader.RequestID)
+	if id != "" && id != want {
+		response.Body.Close()
+		return nil, fail("exchange", comfreyvale.KindUncertain, errors.Errorf("the response is to request %q", id))
+	}
+	if id == "" && reused {
+		response.Header.Del(cvheader.Ran)
+	}
+	return response, nil
+}
+
 // sendOnce keeps net/http from sending a request a second time.
 func sendOnce(request *http.Request) {
 	request.GetBody = nil
--- a/io/upstreams/cvexchanger/cvexchanger_test.go
+++ b/io/upstreams/cvexchanger/cvexchanger_test.go
@@ -11,6 +11,7 @@
 
 	"comfreyvale"
 	"comfreyvale/core/cvfault"
+	"comfreyvale/io/callers/cvheader"
 	"comfreyvale/io/upstreams/cvexchanger"
 )
 
@@ -58,3 +59,58 @@
 		})
 	}
 }
+
+// TestRejectionsOfOtherRequests guards against a rejection that belongs to an earlier request on a reused connection: the
+// caller would be told that its request did not run, although the upstream is running it.
+func TestRejectionsOfOtherRequests(t *testing.T) {
+	cases := map[string]struct {
+		// warm sends another request on the connection before.
+		warm     bool
+		id       string
+		kind     comfreyvale.Kind
+		believed bool
+	}{
+		"first of its connection":          {false, "", "", true},
+		"on a reused connection":           {true, "", "", false},
+		"with the ID":                      {true, "mine", "", true},
+		"with the ID of another":           {true, "other", comfreyvale.KindUncertain, false},
+		"first, with the ID of another":    {false, "other", comfreyvale.KindUncertain, false},
+		"first, with the ID of the caller": {false, "mine", "", true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/warm" {
+					return
+				}
+				if c.id != "" {
+					w.Header().Set(cvheader.RequestID, c.id)
+				}
+				w.Header().Set(cvheader.Ran, string(comfreyvale.RanNo))
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}))
+			defer server.Close()
+			e := &cvexchanger.Exchanger{MaxConnections: 1}
+			defer e.Close()
+			vm := comfreyvale.NewVM("u", "g", "dc", server.Listener.Addr().String(), false)
+			send := func(path string) (*http.Response, error) {
+				r, err := http.NewRequest(http.MethodPost, server.URL+path, nil)
+				require.NoError(t, err)
+				r.Header.Set(cvheader.RequestID, "mine")
+				return e.Exchange(context.Background(), vm, r)
+			}
+			if c.warm {
+				response, err := send("/warm")
+				require.NoError(t, err)
+				response.Body.Close()
+			}
+			response, err := send("/order")
+			require.Equal(t, c.kind, cvfault.KindOf(err))
+			if err != nil {
+				return
+			}
+			response.Body.Close()
+			require.Equal(t, c.believed, response.Header.Get(cvheader.Ran) == string(comfreyvale.RanNo))
+		})
+	}
+}
--- a/io/upstreams/cvpool/connection.go
+++ b/io/upstreams/cvpool/connection.go
@@ -188,7 +188,7 @@
 	}
 	answer := comfreyvale.NewAnswer(response.StatusCode, response.Header, body...)
 	c.recordKeepAlive(response.Header.Get("Keep-Alive"))
-	return c.deliver(e, answer, closesConnection(response))
+	return c.deliver(e, answer, closesConnection(response) || c.anonymousRejection(response))
 }
 
 // skip discards a response to another request and reports whether the connection is still usable.
@@ -218,14 +218,19 @@
 	return e.memory.Receive(response.Body, cvmemory.KindAnswer, c.instance, response.ContentLength, c.pool.MaxResponseBytes, c.close)
 }
 
-// matches reports whether a response carries the request's ID. The ID may be missing if the response states that the
-// request did not run, by the NotRun header or status 421.
+// matches reports whether a response carries the request's ID, or is a rejection without an ID.
 func (c *connection) matches(e *exchange, response *http.Response) bool {
-	id := response.Header.Get(c.pool.HeaderNames.RequestID)
-	if id == "" && e.request.ID() != "" {
-		return response.Header.Get(c.pool.HeaderNames.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
+	return response.Header.Get(c.pool.HeaderNames.RequestID) == e.request.ID() || c.anonymousRejection(response)
+}
+
+// anonymousRejection reports whether a response states that a request did not run, by the NotRun header or status 421,
+// without saying which. It is believed only as the first of its connection: a later one could be a second copy of the
+// first, while the upstream runs the request.
+func (c *connection) anonymousRejection(response *http.Response) bool {
+	if response.Header.Get(c.pool.HeaderNames.RequestID) != "" {
+		return false
 	}
-	return id == e.request.ID()
+	return response.Header.Get(c.pool.HeaderNames.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
 }
 
 // closesConnection reports whether the connection ends after a response, by its header or as the end of its body.
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -192,7 +192,7 @@
 func (fi *faultInjector) setUpstreamMode(ctx context.Context, p faultParams) {
 	modes := []string{
 		cvfaulty.ModeDuplicate, cvfaulty.ModePreviousFirst, cvfaulty.ModeTruncate, cvfaulty.ModeNoResponse, cvfaulty.ModeMalformed, cvfaulty.ModeNoLength, cvfaulty.ModeWrongID,
-		cvfaulty.ModeHang, cvfaulty.ModeNotRun, cvfaulty.ModeServerError, cvfaulty.ModeCloseAfterResponse,
+		cvfaulty.ModeHang, cvfaulty.ModeNotRun, cvfaulty.ModeNotRunRepeated, cvfaulty.ModeMisdirectedRepeated, cvfaulty.ModeServerError, cvfaulty.ModeCloseAfterResponse,
 	}
 	u := fi.cluster.pickUpstream(p.random.IntN(100))
 	u.SetMode(modes[p.random.IntN(len(modes))], false)
