Check entries and configurations where they enter; keep the last valid report

What callers saw: beside one entry that any writer may leave, a balancer that started while it could not read the platform's log never served; its peers answered its question for their state with status 500 each time, and every request got 503 noConfiguration. An entry under the ID of a running upstream with a start in the far future hid all its later reports; a record too short for its key kept everything behind it from being read.

Cause: entries were checked for missing fields only. A key that is not UTF-8 cannot be encoded in a message between balancers, and the failure was not logged. Entries with a port of 99999 or 2^62 slots counted as upstreams.

Ruled out: numbers that do not fit their fields, and the size of the state.

The soak writes such entries, also under IDs of running upstreams.

--- a/core/cvfleet/cvfleet.go
+++ b/core/cvfleet/cvfleet.go
@@ -190,5 +190,8 @@
 	return found
 }
 
+// Instance returns the instance with an ID, or nil.
+func (f *Fleet) Instance(id string) *cvinstance.Instance { return f.present[id] }
+
 // Lapsed returns the number of instances that are kept although their entries lapsed or were lost.
 func (f *Fleet) Lapsed() int { return len(f.lapsed) }
--- a/io/balancers/cvnode/build.go
+++ b/io/balancers/cvnode/build.go
@@ -33,6 +33,7 @@
 	n.groups = make(map[string]*cvslots.Slots)
 	n.eras = make(map[string]int64)
 	n.invalidLimits = make(map[string]string)
+	n.ignored = make(ignoredRecords)
 	n.crashes = make(map[crash]time.Time)
 	n.splitCredits = make(map[string]map[string]float64)
 	n.metrics = cvnodemetrics.New()
@@ -45,7 +46,7 @@
 	}
 	n.news = n.newNews()
 	n.routesWatch, n.upstreamsWatch = n.newWatches()
-	n.relay = &cvrelay.Relay{Snapshot: n.snapshot, Records: n.records}
+	n.relay = &cvrelay.Relay{Snapshot: n.snapshot, Records: n.records, Logger: n.Logger}
 	n.server = &cvhttpserver.Server{
 		Handle: n.handle, Repeatable: n.repeatable, Limits: n.limits, OnRefused: n.requestRefused, Memory: n.memory,
 	}
--- a/io/balancers/cvnode/cvnode.go
+++ b/io/balancers/cvnode/cvnode.go
@@ -104,6 +104,8 @@
 	upstreamsByHash map[uint32]upstreamEntry
 	// drainingByID holds the upstreams last passed to the groups, and whether each is draining.
 	drainingByID map[string]bool
+	// ignored holds the invalid records of the directories that were logged.
+	ignored ignoredRecords
 	// invalidLimits holds the last invalid request limit of upstreams by ID, as logged.
 	invalidLimits map[string]string
 	// splitCredits holds the round-robin credits of nextGroup by route and group.
--- a/io/balancers/cvnode/directories.go
+++ b/io/balancers/cvnode/directories.go
@@ -21,6 +21,7 @@
 }
 
 func (n *Node) routesChanged(_ time.Time, full bool, changes comfreyvale.Changes) {
+	changes = n.withoutInvalidKeys(routesDirectory, changes)
 	for _, c := range changes.Records() {
 		if c.Key() == n.ConfigurationKey && len(c.Value()) > 0 {
 			n.applyRoutes(c)
@@ -35,13 +36,15 @@
 func (n *Node) applyRoutes(change comfreyvale.Change) {
 	table, err := n.ParseRoutes(change.Value())
 	fields := log.Fields{"offset": change.Offset()}
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	if err != nil {
-		n.Logger.WithFields(fields).WithError(err).Error("configuration is invalid; the previous one stays in force")
+		if n.ignored.add(routesDirectory, change) {
+			n.Logger.WithFields(fields).WithError(err).Error("configuration is invalid; the previous one stays in force")
+		}
 		return
 	}
 	fields["version"] = table.Version()
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	old := n.routes.Load()
 	if old != nil && table.Version() <= old.Version() {
 		fields["inForce"] = old.Version()
@@ -69,6 +72,7 @@
 }
 
 func (n *Node) upstreamsChanged(now time.Time, full bool, changes comfreyvale.Changes) {
+	changes = n.withoutInvalidKeys(upstreamsDirectory, changes)
 	n.mu.Lock()
 	changed := false
 	if n.upstreamsLoaded && n.recentUpstreams.next().Era() < changes.Next().Era() {
@@ -76,7 +80,7 @@
 	}
 	n.upstreamsLoaded = true
 	if full {
-		changed = n.fleet.Replace(now, n.parseInstances(changes.Records()))
+		changed = n.fleet.Replace(now, n.parseInstances(now, changes.Records()))
 	} else {
 		changed = n.applyInstanceChanges(now, changes.Records())
 	}
@@ -87,24 +91,37 @@
 	}
 }
 
-func (n *Node) parseInstances(changes []comfreyvale.Change) []*cvinstance.Instance {
+// parseInstances returns the instances of a full listing. The last valid report of an upstream stays in force if its
+// record is invalid now. The caller holds n.mu.
+func (n *Node) parseInstances(now time.Time, changes []comfreyvale.Change) []*cvinstance.Instance {
 	var found []*cvinstance.Instance
 	for _, c := range changes {
-		if i := n.parseInstance(c); i != nil {
+		if i := n.parseInstance(now, c); i != nil {
 			found = append(found, i)
+		} else if known := n.fleet.Instance(c.Key()); known != nil {
+			found = append(found, known)
 		}
 	}
 	return found
 }
 
-// parseInstance returns nil if the record is invalid.
-func (n *Node) parseInstance(change comfreyvale.Change) *cvinstance.Instance {
+// parseInstance returns nil if the record is invalid, which it logs once. The caller holds n.mu.
+func (n *Node) parseInstance(now time.Time, change comfreyvale.Change) *cvinstance.Instance {
+	if len(change.Value()) == 0 {
+		return nil
+	}
 	i, err := n.ParseInstance(change.Key(), change.Value())
-	if err != nil {
+	if err == nil {
+		err = i.Check(now)
+	}
+	if err == nil {
+		n.ignored.forget(upstreamsDirectory, change.Key())
+		return i
+	}
+	if n.ignored.add(upstreamsDirectory, change) {
 		n.Logger.WithFields(log.Fields{"upstream": change.Key(), "offset": change.Offset()}).WithError(err).Warn("ignored an invalid upstream record")
-		return nil
 	}
-	return i
+	return nil
 }
 
 func (n *Node) applyInstanceChanges(now time.Time, changes []comfreyvale.Change) bool {
@@ -114,7 +131,7 @@
 			changed = n.fleet.Remove(now, c.Key()) || changed
 			continue
 		}
-		if i := n.parseInstance(c); i != nil {
+		if i := n.parseInstance(now, c); i != nil {
 			changed = n.fleet.Put(now, i) || changed
 		}
 	}
--- a/io/balancers/cvnode/relay.go
+++ b/io/balancers/cvnode/relay.go
@@ -116,8 +116,13 @@
 	}
 	var found []*cvinstance.Instance
 	for _, e := range s.GetEntries() {
-		found = append(found, cvinstance.New(e.GetId(), e.GetGroup(), e.GetAddress(), e.GetDataCentre(), int(e.GetSlots())).
-			WithState(e.GetDraining(), time.Duration(e.GetWarmUpMs())*time.Millisecond).WithSequence(e.GetBorn(), e.GetSequence()))
+		i := cvinstance.New(e.GetId(), e.GetGroup(), e.GetAddress(), e.GetDataCentre(), int(e.GetSlots())).
+			WithState(e.GetDraining(), time.Duration(e.GetWarmUpMs())*time.Millisecond).WithSequence(e.GetBorn(), e.GetSequence())
+		if err := i.Check(now); err != nil {
+			n.Logger.WithField("upstream", e.GetId()).WithError(err).Warn("ignored an invalid upstream of another balancer")
+			continue
+		}
+		found = append(found, i)
 	}
 	changed := false
 	if s.GetDirectoryAway() {
--- a/io/balancers/cvnode/request.go
+++ b/io/balancers/cvnode/request.go
@@ -128,10 +128,11 @@
 		limit = route.Timeout()
 	}
 	ms, err := strconv.ParseFloat(request.Header.Get(n.HeaderNames.Deadline), 64)
-	if err != nil || ms <= 0 {
+	// The comparison in milliseconds also rules out numbers that a duration cannot hold.
+	if err != nil || !(ms > 0 && ms < float64(limit/time.Millisecond)) {
 		return limit
 	}
-	return min(limit, time.Duration(ms*float64(time.Millisecond)))
+	return time.Duration(ms * float64(time.Millisecond))
 }
 
 // nextGroup returns the group for the route's next request by smooth weighted round-robin: the group that is furthest
--- a/io/peers/cvrelay/cvrelay.go
+++ b/io/peers/cvrelay/cvrelay.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/dghubble/sling"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -40,6 +41,8 @@
 	Snapshot func(have int64) *cvwire.Snapshot
 	// Records returns the records of a directory, from a position on, that this balancer keeps.
 	Records func(directory string, from comfreyvale.Position) *cvwire.DirectoryRecords
+	// Logger logs responses that cannot be encoded. A Relay that only fetches needs none.
+	Logger log.Interface
 }
 
 // ServeHTTP handles another balancer's request.
@@ -62,6 +65,7 @@
 	}
 	content, err := proto.Marshal(message)
 	if err != nil {
+		r.Logger.WithField("path", request.URL.Path).WithError(err).Error("response to another balancer cannot be encoded")
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
--- a/io/upstreams/cvpool/connection.go
+++ b/io/upstreams/cvpool/connection.go
@@ -26,6 +26,8 @@
 	// maxStaleResponses is how many responses to other requests, and interim responses, are discarded before a connection
 	// counts as broken.
 	maxStaleResponses = 4
+	// maxKeepAliveSeconds is the longest Keep-Alive timeout that is read; other values change nothing.
+	maxKeepAliveSeconds = 3600
 	// maxHeadBytes limits the head of a response. An upstream in trouble may send bytes without end.
 	maxHeadBytes = 64 << 10
 )
@@ -244,7 +246,7 @@
 		if !strings.EqualFold(name, "timeout") {
 			continue
 		}
-		if seconds, err := strconv.Atoi(value); err == nil {
+		if seconds, err := strconv.Atoi(value); err == nil && seconds >= 0 && seconds <= maxKeepAliveSeconds {
 			c.mu.Lock()
 			c.idleTimeout = time.Duration(idleTimeoutShare * float64(time.Duration(seconds)*time.Second))
 			c.mu.Unlock()
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
@@ -170,12 +170,27 @@
 	fi.cluster.store.LoseHistory([]string{cvformat.ConfigurationTopic, cvformat.UpstreamTopic}[p.random.IntN(2)])
 }
 
-// putBrokenRecords writes records that cannot be parsed.
-func (fi *faultInjector) putBrokenRecords(_ context.Context, p faultParams) {
-	fi.cluster.store.Put(cvformat.UpstreamTopic, fmt.Sprint("broken", p.random.IntN(3)), []byte(`{"address":7}`))
+// brokenEntries are records of another writer among those of the upstreams.
+var brokenEntries = []string{
+	`{"address":7}`,
+	"\xff\x00",
+	strings.Repeat("[", 50_000),
+	`{"address":"127.0.0.1:99999","born":1,"info":{"service":"g","zone":"z","slots":4},"status":{"state":"ready","seq":1}}`,
+	`{"address":"127.0.0.1:9","born":1,"info":{"service":"g","zone":"z","slots":4611686018427387904},"status":{"state":"ready","seq":1}}`,
+	`{"address":"127.0.0.1:9","born":9223372036854775807,"info":{"service":"g","zone":"z","slots":4},"status":{"state":"ready","seq":1}}`,
+}
+
+// putBrokenRecords writes records that name no upstream, under keys of their own or of an upstream, and an invalid
+// configuration.
+func (fi *faultInjector) putBrokenRecords(ctx context.Context, p faultParams) {
+	u := fi.cluster.pickUpstream(p.random.IntN(100))
+	keys := []string{"broken0", "broken1", "broken\xff", u.ID}
+	fi.cluster.store.Put(cvformat.UpstreamTopic, keys[p.random.IntN(len(keys))], []byte(brokenEntries[p.random.IntN(len(brokenEntries))]))
 	fi.cluster.store.Put(cvformat.ConfigurationTopic, cvformat.ConfigurationKey, []byte(`{"version":`))
 	// The newest record must be valid, or a new process could not determine the configuration in force.
 	fi.cluster.publish()
+	cvpause.For(ctx, p.duration)
+	fi.cluster.reportAgain(u)
 }
 
 func (fi *faultInjector) publishConfigurations(ctx context.Context, p faultParams) {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -254,6 +255,15 @@
 	cl.store.Put(cvformat.UpstreamTopic, u.ID, value)
 }
 
+// reportAgain writes the record of an upstream anew, as running upstreams do all the time.
+func (cl *cluster) reportAgain(u *upstream) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	if slices.Contains(cl.upstreams, u) {
+		cl.putRecord(u)
+	}
+}
+
 // removeUpstream removes the record of the upstream but does not stop its server.
 func (cl *cluster) removeUpstream(u *upstream) {
 	cl.mu.Lock()
