Show that an answer cut in its head or body is never delivered as whole

Reported by operators of a similar system: an upstream stopped in the middle of its answer's head and closed, and callers got a 200 with a short body framed as whole. No cut answer is taken for a whole one, on the code as it was: a head counts only with its empty line, and each framing knows its end. An answer without a length that is closed in order is whole by its protocol. Nothing was changed.

--- a/io/upstreams/cvexchanger/cvexchanger_test.go
+++ b/io/upstreams/cvexchanger/cvexchanger_test.go
@@ -1,7 +1,10 @@
 package cvexchanger_test
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -114,3 +117,55 @@
 		})
 	}
 }
+
+// TestResponsesCutAnywhere checks that a response which ends at any byte of its head or body is never taken for a whole
+// one: either there is no response, or its body breaks, or it is refused because its end cannot be told.
+func TestResponsesCutAnywhere(t *testing.T) {
+	const body = "0123456789"
+	cases := map[string]string{
+		"a length":          "HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 10\r\n\r\n" + body,
+		"chunks":            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n0123\r\n6\r\n456789\r\n0\r\n\r\n",
+		"chunks, trailers":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\n" + body + "\r\n0\r\nA: b\r\n\r\n",
+		"no length":         "HTTP/1.1 200 OK\r\nA: b\r\n\r\n" + body,
+		"HTTP/1.0":          "HTTP/1.0 200 OK\r\n\r\n" + body,
+		"after an interim":  "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n" + body,
+		"bare line feeds":   "HTTP/1.1 200 OK\nContent-Length: 10\n\n" + body,
+		"a rejection":       "HTTP/1.1 503 Service Unavailable\r\nComfreyvale-Ran: no\r\nContent-Length: 2\r\n\r\nno",
+		"a length, closing": "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 10\r\n\r\n" + body,
+	}
+	for name, response := range cases {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer listener.Close()
+			go func() {
+				for length := 0; ; length++ {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+						_, _ = io.WriteString(conn, response[:length])
+					}
+					conn.Close()
+				}
+			}()
+			e := &cvexchanger.Exchanger{MaxConnections: 1}
+			defer e.Close()
+			vm := comfreyvale.NewVM("u", "g", "dc", listener.Addr().String(), false)
+			for length := range len(response) {
+				request, err := http.NewRequest(http.MethodGet, "http://u/", nil)
+				require.NoError(t, err)
+				answer, err := e.Exchange(context.Background(), vm, request)
+				if err != nil {
+					require.Equal(t, comfreyvale.KindUncertain, cvfault.KindOf(err))
+					continue
+				}
+				framing := e.CheckFraming(answer)
+				_, err = io.ReadAll(answer.Body)
+				answer.Body.Close()
+				require.True(t, framing != nil || err != nil, "cut after %d bytes", length)
+			}
+		})
+	}
+}
