Bound the memory of request bodies in run

The cause of "answers without end" on a related path: run read every caller's body up to requestLimit with no common limit, so that enough callers take any memory. Bodies now come out of requestMemory, by the same account as in serve; a request without room is refused with the new cause memoryFull, as not run. Buffers of answers: a known length is read into a buffer of that size, and an unknown one reserves twice the limit, as it grows by copying.

--- a/io/balancers/cvbalancer/cvbalancer.go
+++ b/io/balancers/cvbalancer/cvbalancer.go
@@ -24,6 +24,7 @@
 	"comfreyvale/core/cvrandom"
 	"comfreyvale/core/cvroundrobin"
 	"comfreyvale/core/cvservice"
+	"comfreyvale/io/balancers/cvbodies"
 	"comfreyvale/io/balancers/cvlisteners"
 	"comfreyvale/io/balancers/cvpause"
 	"comfreyvale/io/callers/cvgateway"
@@ -142,13 +143,21 @@
 		Recorder: b.recorder, Tracer: b.Tracer, ResponseMemory: semaphore.NewWeighted(b.Settings.AnswerMemory()),
 		OnDraining: b.upstreamDraining, OnConnectionLost: b.upstreamCrashed, Quarantined: b.retryBlocked, Suspected: b.isSuspect, AssignUpstream: b.assignUpstream,
 	}
+	requests := &cvbodies.Memory{OnTurnedAway: b.requestTurnedAway}
+	requests.SetLimit(b.Settings.RequestMemory())
 	b.gateway = &cvgateway.Gateway{
+		Requests:    requests,
 		FindService: b.table.Find, Quarantined: b.quarantined, OnUpstreamSuccess: b.requestCompleted, NewKeys: b.homes.NewKeys,
 		Runner: runner, Claims: b.claims, Recorder: b.recorder, Metrics: b.metrics, Tracer: b.Tracer,
 	}
 	return nil
 }
 
+// requestTurnedAway logs that a request was dropped for lack of memory.
+func (b *Balancer) requestTurnedAway(_, caller string, size int64, cause error) {
+	b.Logger.WithFields(log.Fields{"caller": caller, "bytes": size}).WithError(cause).Warn("request dropped for lack of memory")
+}
+
 // probesPerAttempt is the number of probes that the probing policy requests for each attempt.
 const probesPerAttempt = 1
 
--- a/io/balancers/cvbalancer/harness_test.go
+++ b/io/balancers/cvbalancer/harness_test.go
@@ -40,11 +40,18 @@
 	adminAddresses  []string
 	stops           []func()
 	client          *http.Client
+	// settings are appended to the settings file of each balancer.
+	settings string
 }
 
 // newSystem starts balancers and upstreams for one service, and waits until all balancers are ready.
 func newSystem(t *testing.T, balancers, upstreams int, service string) *system {
-	s := &system{t: t, log: &cvmemlog.Log{}, list: &cvmemlist.List{}, client: &http.Client{Transport: &http.Transport{}}}
+	return newSystemWith(t, balancers, upstreams, service, "")
+}
+
+// newSystemWith is like newSystem with further settings of the balancers.
+func newSystemWith(t *testing.T, balancers, upstreams int, service, settings string) *system {
+	s := &system{t: t, settings: settings, log: &cvmemlog.Log{}, list: &cvmemlist.List{}, client: &http.Client{Transport: &http.Transport{}}}
 	s.group = &cvsample.Group{Name: "g", Count: upstreams, Slots: 4, DataCentres: []string{"dc-1"}, Seed: 1, VMList: s.list}
 	require.NoError(t, s.group.Start())
 	for i := range balancers {
@@ -75,8 +82,8 @@
 		addresses[j] = l.Addr().String()
 		l.Close()
 	}
-	content := fmt.Sprintf("vm: entry-%d\ndataCentre: dc-1\nlisten: %s\nadmin: %s\npeer: %s\nlog: {address: \"http://l\"}\nvmList: {address: \"http://l\", poll: 100ms}\nstop: {lag: 0s, limit: 10s}\n",
-		i+1, addresses[0], addresses[1], addresses[2])
+	content := fmt.Sprintf("vm: entry-%d\ndataCentre: dc-1\nlisten: %s\nadmin: %s\npeer: %s\nlog: {address: \"http://l\"}\nvmList: {address: \"http://l\", poll: 100ms}\nstop: {lag: 0s, limit: 10s}\n%s",
+		i+1, addresses[0], addresses[1], addresses[2], s.settings)
 	settings, err := cvsettings.Parse("settings", []byte(content))
 	require.NoError(s.t, err)
 	logger := &cvlogger.Options{Out: io.Discard}
--- a/io/callers/cvgateway/cvgateway.go
+++ b/io/callers/cvgateway/cvgateway.go
@@ -2,13 +2,14 @@
 package cvgateway
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -20,9 +21,12 @@
 
 	"comfreyvale"
 	"comfreyvale/core/cvcall"
+	"comfreyvale/core/cvfault"
 	"comfreyvale/core/cvhost"
+	"comfreyvale/core/cvmemory"
 	"comfreyvale/core/cvrefusal"
 	"comfreyvale/core/cvservice"
+	"comfreyvale/io/balancers/cvbodies"
 	"comfreyvale/io/callers/cvheader"
 	"comfreyvale/io/callers/cvreply"
 	"comfreyvale/io/operators/cvmetrics"
@@ -49,6 +53,8 @@
 	// NewKeys returns new idempotency keys that only this balancer grants.
 	NewKeys func(count int) []string
 	Runner  *cvrunner.Runner
+	// Requests holds the bodies of requests. A request for which it has no room is refused.
+	Requests *cvbodies.Memory
 	// Claims grants idempotency keys.
 	Claims comfreyvale.Claims
 	// Recorder stores the decisions to refuse a call.
@@ -69,6 +75,8 @@
 	service    *cvservice.Service
 	dispatcher *cvdispatcher.Dispatcher
 	call       *cvcall.Call
+	// memory holds the request's body.
+	memory *cvbodies.Holder
 }
 
 // ServeHTTP answers one request. It panics with http.ErrAbortHandler to abort the connection if an upstream's response
@@ -89,6 +97,8 @@
 	ctx, span := g.Tracer.Start(ctx, "accept", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 	e := &exchange{gateway: g, writer: w, request: r, id: newRequestID(), arrived: time.Now()}
+	e.memory = g.Requests.Holder(e.caller())
+	defer e.memory.Close()
 	span.SetAttributes(attribute.String("requestId", e.id))
 	w.Header().Set(cvheader.RequestID, e.id)
 	if refusal := e.serve(ctx); refusal != nil {
@@ -157,7 +167,7 @@
 	controller := http.NewResponseController(e.writer)
 	// Not every connection supports read deadlines; the call's deadline still applies.
 	_ = controller.SetReadDeadline(deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(e.writer, e.request.Body, limit))
+	body, err := e.readBody(controller, limit)
 	if err != nil {
 		// The rest of the body may never arrive: the deadline stays, and the connection is closed after the refusal.
 		e.writer.Header().Set("Connection", "close")
@@ -165,9 +175,12 @@
 		_ = controller.SetReadDeadline(time.Time{})
 	}
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	if errors.As(err, &tooLarge) || cvfault.KindOf(err) == comfreyvale.KindLimited {
 		return cvrefusal.New(comfreyvale.CauseRequestTooLarge, comfreyvale.RanNo, err.Error()).WithSetting(e.service.Setting("requestLimit"))
 	}
+	if cvfault.KindOf(err) == comfreyvale.KindExhausted {
+		return cvrefusal.New(comfreyvale.CauseMemoryFull, comfreyvale.RanNo, err.Error())
+	}
 	if err != nil {
 		return cvrefusal.New(comfreyvale.CauseRequestBroken, comfreyvale.RanNo, "the request's body did not arrive whole: "+err.Error())
 	}
@@ -177,6 +190,38 @@
 	return nil
 }
 
+// readBody reads the complete body into the memory for requests.
+func (e *exchange) readBody(controller *http.ResponseController, limit int64) ([]byte, error) {
+	source := http.MaxBytesReader(e.writer, e.request.Body, limit)
+	// If the connection supports no deadlines, a body that gave way is noticed when more of it arrives.
+	abort := func() { _ = controller.SetReadDeadline(time.Now()) }
+	// One byte more than the limit lets the source report that the body is too long.
+	parts, err := e.memory.Receive(source, cvmemory.KindRequest, e.caller(), e.request.ContentLength, limit+1, abort)
+	if err != nil {
+		return nil, err
+	}
+	if len(parts) == 1 {
+		return parts[0], nil
+	}
+	size := 0
+	for _, p := range parts {
+		size += len(p)
+	}
+	if err := e.memory.Reserve(cvmemory.KindRequest, e.caller(), int64(size)); err != nil {
+		return nil, err
+	}
+	return bytes.Join(parts, nil), nil
+}
+
+// caller returns the host of the caller's address.
+func (e *exchange) caller() string {
+	host, _, err := net.SplitHostPort(e.request.RemoteAddr)
+	if err != nil {
+		return e.request.RemoteAddr
+	}
+	return host
+}
+
 // run sends a call to an upstream without a claim.
 func (e *exchange) run(ctx context.Context) *cvrefusal.Refusal {
 	reply, refusal := e.gateway.Runner.Run(ctx, e.call, e.dispatcher)
--- a/io/operators/cvsettings/cvsettings.go
+++ b/io/operators/cvsettings/cvsettings.go
@@ -32,6 +32,7 @@
 	{Path: "suspectAfter", Kind: cvfield.Duration, Default: "3s", Min: "500ms", Max: "1m", Effect: "Time that a balancer must be unreachable from most others before it is evicted from the roster."},
 	{Path: "journalInterval", Kind: cvfield.Duration, Default: "20ms", Min: "1ms", Max: "1s", Effect: "Minimum time between two journal appends of one home. Claims that arrive in between share one append."},
 	{Path: "answerMemory", Kind: cvfield.Size, Default: "64MiB", Min: "1MiB", Max: "4GiB", Effect: "Maximum bytes of incomplete answers that are buffered at a time. Further answers are streamed."},
+	{Path: "requestMemory", Kind: cvfield.Size, Default: "256MiB", Min: "1MiB", Max: "64GiB", Effect: "Maximum bytes of request bodies that are held at a time. One caller's may take half of it, those above 256 KiB three quarters. Further requests are refused."},
 	{Path: "replayMemory", Kind: cvfield.Size, Default: "16MiB", Min: "1MiB", Max: "4GiB", Effect: "Maximum bytes of answers that are kept to be replayed for repeated idempotency keys."},
 	{Path: "stop.lag", Kind: cvfield.Duration, Default: "5s", Min: "0s", Max: "5m", Effect: "Time after the stop signal in which new calls are still accepted, because the platform's balancer sends them until it notices the stop."},
 	{Path: "stop.limit", Kind: cvfield.Duration, Default: "1m", Min: "1s", Max: "1h", Effect: "Time after the lag in which in-flight calls may finish. Calls that remain are cut, counted and logged."},
@@ -106,6 +107,9 @@
 // AnswerMemory returns the maximum bytes of incomplete answers in memory at a time.
 func (s *Settings) AnswerMemory() int64 { return s.Size("answerMemory") }
 
+// RequestMemory returns the maximum bytes of request bodies that are held at a time.
+func (s *Settings) RequestMemory() int64 { return s.Size("requestMemory") }
+
 // ReplayMemory returns the maximum bytes of answers kept for replay.
 func (s *Settings) ReplayMemory() int64 { return s.Size("replayMemory") }
 
--- a/io/upstreams/cvrunner/attempt.go
+++ b/io/upstreams/cvrunner/attempt.go
@@ -200,7 +200,8 @@
 // buffer reads the body if it fits into the service's limit and ResponseMemory. Otherwise the response is streamed.
 func (a *attempt) buffer(ctx context.Context, ticket *cvticket.Ticket, response *http.Response) {
 	limit := a.execution.call.Service().HeldAnswerLimit()
-	reserved := limit
+	// A buffer for an unknown length grows by copying, and holds both copies meanwhile.
+	reserved := 2 * limit
 	if response.ContentLength >= 0 {
 		reserved = min(response.ContentLength, limit)
 	}
@@ -208,7 +209,7 @@
 		a.stream(ticket, response, nil, 0)
 		return
 	}
-	buffered, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	buffered, err := readHeld(response, limit)
 	if err != nil {
 		a.execution.runner.ResponseMemory.Release(reserved)
 		response.Body.Close()
@@ -227,6 +228,16 @@
 	})
 }
 
+// readHeld reads a body up to one byte beyond the limit.
+func readHeld(response *http.Response, limit int64) ([]byte, error) {
+	if response.ContentLength < 0 || response.Body == http.NoBody {
+		return io.ReadAll(io.LimitReader(response.Body, limit+1))
+	}
+	content := make([]byte, response.ContentLength)
+	_, err := io.ReadFull(response.Body, content)
+	return content, err
+}
+
 // stream makes a reply that reads the rest of the body from the upstream and holds the slot until it is closed.
 func (a *attempt) stream(ticket *cvticket.Ticket, response *http.Response, buffered []byte, reserved int64) {
 	result := a.result(response)
--- a/recorder.go
+++ b/recorder.go
@@ -26,6 +26,7 @@
 	CauseDeadline         Cause = "deadline"
 	CauseCallerGone       Cause = "callerGone"
 	CauseRequestTooLarge  Cause = "requestTooLarge"
+	CauseMemoryFull       Cause = "memoryFull"
 	CauseRequestBroken    Cause = "requestBroken"
 	CauseUpgrade          Cause = "upgradeNotOffered"
 	CauseConnect          Cause = "connectFailed"
