Tell callers when to come back after a request without memory

A request for which the balancer has no memory has not run; its 503 says now when it may be sent again. TestBodyMemory wants the header; the old code sent none.

--- a/io/callers/cvhttpserver/connection.go
+++ b/io/callers/cvhttpserver/connection.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -19,6 +20,8 @@
 	maxPipelined = 32
 	// bodyTimeout limits the time to receive a request with its body. It is longer than any deadline of the callers.
 	bodyTimeout = 10 * time.Second
+	// memoryRetryAfter is when a caller may send a request again for which there was no memory, in seconds.
+	memoryRetryAfter = "1"
 )
 
 // connection is one connection of a caller. One goroutine reads the requests, one writes the responses, and each
@@ -148,7 +151,11 @@
 // refuse answers an invalid request, which ends the connection, and discards the rest of it.
 func (c *connection) refuse(e *exchange, cause *requestError) {
 	c.server.OnRefused(c.conn.RemoteAddr().String(), cause.status, cause)
-	e.response = comfreyvale.NewAnswer(cause.status, nil, nil)
+	var header http.Header
+	if cause.status == http.StatusServiceUnavailable {
+		header = http.Header{"Retry-After": {memoryRetryAfter}}
+	}
+	e.response = comfreyvale.NewAnswer(cause.status, header)
 	e.last = true
 	close(e.done)
 	c.queue <- e
--- a/io/callers/cvhttpserver/cvhttpserver_test.go
+++ b/io/callers/cvhttpserver/cvhttpserver_test.go
@@ -357,6 +357,7 @@
 	_, second := send("/second")
 	response, _ := read(t, second)
 	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Equal(t, "1", response.Header.Get("Retry-After"))
 	require.Empty(t, g.started)
 	close(g.channel("/held/1"))
 	read(t, first)
