Close links of a stopped process whose peers had not said their names

Cause: Peers.Run closes the links that it knows when it ends. One whose peer says its name later is added after that and stays open, and the stopped process goes on answering claims on it, until its end.

TestStoppedProcessAnswersNothing shows the way: the process has accepted a link, stops, and answers a claim on it; it fails on the old code.

Change: each session ends with the context of Run, from its first moment.

--- a/io/peers/cvpeers/cvpeers.go
+++ b/io/peers/cvpeers/cvpeers.go
@@ -75,7 +75,6 @@
 	group.Go(func() error {
 		<-ctx.Done()
 		p.Listener.Close()
-		p.closeAll()
 		return nil
 	})
 	group.Go(func() error { return p.accept(ctx) })
@@ -111,6 +110,7 @@
 		conn.Close()
 		return
 	}
+	defer closeAfter(ctx, session)()
 	timer := time.AfterFunc(helloTimeout, func() { session.Close() })
 	process, err := receiveHello(session, p.Process)
 	if err != nil || !timer.Stop() {
@@ -181,6 +181,7 @@
 		conn.Close()
 		return err
 	}
+	defer closeAfter(ctx, session)()
 	name, err := sendHello(session, p.Process)
 	if err != nil || name != process {
 		session.Close()
@@ -190,6 +191,12 @@
 	return nil
 }
 
+// closeAfter closes a session when the context ends, also one whose peer has not said its name yet: a process that has
+// stopped must not answer on it. The returned function ends this.
+func closeAfter(ctx context.Context, session *yamux.Session) (stop func() bool) {
+	return context.AfterFunc(ctx, func() { session.Close() })
+}
+
 // localAddress returns the listener's IP address with any port, because the peers know this balancer by that IP
 // address, or nil if the listener has no specific one.
 func (p *Peers) localAddress() net.Addr {
@@ -308,11 +315,3 @@
 	}
 	return linked
 }
-
-func (p *Peers) closeAll() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, l := range p.links {
-		l.session.Close()
-	}
-}
--- a/io/peers/cvpeers/cvpeers_test.go
+++ b/io/peers/cvpeers/cvpeers_test.go
@@ -1,6 +1,7 @@
 package cvpeers_test
 
 import (
+	"bufio"
 	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
@@ -9,6 +10,7 @@
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
+	"io"
 	"math/big"
 	"net"
 	"os"
@@ -16,8 +18,10 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
+	"google.golang.org/protobuf/encoding/protodelim"
 
 	"comfreyvale/core/cvwire"
 	"comfreyvale/io/operators/cvmetrics"
@@ -131,3 +135,38 @@
 		})
 	}
 }
+
+// TestStoppedProcessAnswersNothing guards against a link whose peer says its name only after this process has stopped: the
+// process would still answer claims of the keys that it generated.
+func TestStoppedProcessAnswersNothing(t *testing.T) {
+	p, address := newPeers(t, "b", nil)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- p.Run(ctx) }()
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	config := yamux.DefaultConfig()
+	config.LogOutput = io.Discard
+	session, err := yamux.Client(conn, config)
+	require.NoError(t, err)
+	defer session.Close()
+	// A first answer of the session shows that the process has accepted the link.
+	_, err = session.Ping()
+	require.NoError(t, err)
+	stop()
+	require.NoError(t, <-done)
+	send := func(request *cvwire.PeerRequest) error {
+		stream, err := session.OpenStream()
+		if err != nil {
+			return err
+		}
+		defer stream.Close()
+		stream.SetDeadline(time.Now().Add(20 * time.Second))
+		if _, err := protodelim.MarshalTo(stream, request); err != nil {
+			return err
+		}
+		return protodelim.UnmarshalFrom(bufio.NewReader(stream), &cvwire.PeerReply{})
+	}
+	_ = send(&cvwire.PeerRequest{From: "a", Request: &cvwire.PeerRequest_Hello{Hello: &cvwire.Hello{Process: "a"}}})
+	require.Error(t, send(&cvwire.PeerRequest{From: "a", Request: &cvwire.PeerRequest_Claim{Claim: &cvwire.ClaimRequest{Key: "k"}}}))
+}
