--- a/io/peers/cvpeers/cvpeers.go
+++ b/io/peers/cvpeers/cvpeers.go
@@ -61,7 +61,8 @@
 	stopDialing map[string]context.CancelFunc
 	// addresses holds the addresses set before Run.
 	addresses map[string]string
-	ctx       context.Context
+	// ctx is the context of Run.
+	ctx context.Context
 }
 
 // Run opens, accepts and serves links until the context ends.
@@ -181,7 +182,8 @@
 		conn.Close()
 		return err
 	}
-	defer closeAfter(ctx, session)()
+	// The link outlives ctx, which ends when the peer's address is removed.
+	defer closeAfter(p.ctx, session)()
 	name, err := sendHello(session, p.Process)
 	if err != nil || name != process {
 		session.Close()
--- a/io/peers/cvpeers/cvpeers_test.go
+++ b/io/peers/cvpeers/cvpeers_test.go
@@ -170,3 +170,27 @@
 	_ = send(&cvwire.PeerRequest{From: "a", Request: &cvwire.PeerRequest_Hello{Hello: &cvwire.Hello{Process: "a"}}})
 	require.Error(t, send(&cvwire.PeerRequest{From: "a", Request: &cvwire.PeerRequest_Claim{Claim: &cvwire.ClaimRequest{Key: "k"}}}))
 }
+
+// TestLinkStaysWithoutAddress guards against a link that is closed when the address of its peer is removed: a balancer that
+// leaves still hands over its answers on it.
+func TestLinkStaysWithoutAddress(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	a, _ := newPeers(t, "a", nil)
+	b, address := newPeers(t, "b", nil)
+	done := make(chan error, 2)
+	for _, p := range []*cvpeers.Peers{a, b} {
+		go func() { done <- p.Run(ctx) }()
+	}
+	defer func() {
+		stop()
+		require.NoError(t, <-done)
+		require.NoError(t, <-done)
+	}()
+	a.SetAddresses(map[string]string{"b": address})
+	require.Eventually(t, func() bool { return len(a.Linked()) == 1 && len(b.Linked()) == 1 }, 20*time.Second, time.Millisecond)
+	a.SetAddresses(nil)
+	closed := func() bool { return len(a.Linked()) == 0 || len(b.Linked()) == 0 }
+	require.Never(t, closed, 200*time.Millisecond, time.Millisecond)
+	_, err := b.Call(ctx, "a", &cvwire.PeerRequest{Request: &cvwire.PeerRequest_Claim{Claim: &cvwire.ClaimRequest{Key: "k"}}})
+	require.NoError(t, err)
+}
