--- a/io/balancers/cvnode/odd_entries_test.go
+++ b/io/balancers/cvnode/odd_entries_test.go
@@ -3,17 +3,25 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/stretchr/testify/require"
 
 	"comfreyvale/io/standins/cvfaulty"
 	"comfreyvale/io/standins/cvmemdirectory"
 )
 
-// awaitUnused waits until requests at a balancer do not reach an upstream anymore.
+// awaitUnused waits until a balancer has read that an upstream is draining, and requests do not reach it anymore.
 func (r *runningNode) awaitUnused(t *testing.T, u *cvfaulty.Upstream) {
+	require.Eventually(t, func() bool {
+		return slices.ContainsFunc(r.logs.withMessage("upstreams changed"), func(f log.Fields) bool {
+			draining, _ := f["nowDraining"].([]string)
+			return slices.Contains(draining, u.ID)
+		})
+	}, 30*time.Second, time.Millisecond)
 	require.Eventually(t, func() bool {
 		before := u.TotalRuns()
 		for i := range 10 {
