--- a/core/cvrequest/cvrequest.go
+++ b/core/cvrequest/cvrequest.go
@@ -1,7 +1,10 @@
 // Package cvrequest defines an HTTP request that the balancer sends to an upstream.
 package cvrequest
 
-import "net/http"
+import (
+	"net/http"
+	"time"
+)
 
 // Request is a complete request with its body. It is immutable.
 type Request struct {
@@ -11,6 +14,10 @@
 	host   string
 	header http.Header
 	parts  [][]byte
+	// deadline is when the caller stops waiting.
+	deadline time.Time
+	// nonIdempotent is set if the request must not run twice.
+	nonIdempotent bool
 }
 
 // New returns a request with the parts of its body. The target is unchanged, byte for byte, and the header holds only the end-to-end headers.
@@ -18,6 +25,33 @@
 	return &Request{id: id, method: method, target: target, host: host, header: header, parts: body}
 }
 
+// WithDeadline returns a copy with the time at which the caller stops waiting.
+func (r *Request) WithDeadline(deadline time.Time) *Request {
+	c := *r
+	c.deadline = deadline
+	return &c
+}
+
+// WithNonIdempotent returns a copy that must not run twice if nonIdempotent is set.
+func (r *Request) WithNonIdempotent(nonIdempotent bool) *Request {
+	c := *r
+	c.nonIdempotent = nonIdempotent
+	return &c
+}
+
+// WithHeader returns a copy with other end-to-end headers.
+func (r *Request) WithHeader(header http.Header) *Request {
+	c := *r
+	c.header = header
+	return &c
+}
+
+// Deadline returns the time at which the caller stops waiting.
+func (r *Request) Deadline() time.Time { return r.deadline }
+
+// NonIdempotent reports whether the request must not run twice.
+func (r *Request) NonIdempotent() bool { return r.nonIdempotent }
+
 // ID returns the id that the caller gave the request.
 func (r *Request) ID() string { return r.id }
 
--- a/io/balancers/cvbalancer/cvbalancer.go
+++ b/io/balancers/cvbalancer/cvbalancer.go
@@ -143,7 +143,7 @@
 		Recorder: b.recorder, Tracer: b.Tracer, ResponseMemory: semaphore.NewWeighted(b.Settings.AnswerMemory()),
 		OnDraining: b.upstreamDraining, OnConnectionLost: b.upstreamCrashed, Quarantined: b.retryBlocked, Suspected: b.isSuspect, AssignUpstream: b.assignUpstream,
 	}
-	requests := &cvbodies.Memory{OnTurnedAway: b.requestTurnedAway}
+	requests := &cvbodies.Memory{OnDropped: b.requestDropped}
 	requests.SetLimit(b.Settings.RequestMemory())
 	b.gateway = &cvgateway.Gateway{
 		Requests:    requests,
@@ -153,8 +153,8 @@
 	return nil
 }
 
-// requestTurnedAway logs that a request was dropped for lack of memory.
-func (b *Balancer) requestTurnedAway(_, caller string, size int64, cause error) {
+// requestDropped logs that a request was dropped for lack of memory.
+func (b *Balancer) requestDropped(_, caller string, size int64, cause error) {
 	b.Logger.WithFields(log.Fields{"caller": caller, "bytes": size}).WithError(cause).Warn("request dropped for lack of memory")
 }
 
--- a/io/balancers/cvbodies/holder.go
+++ b/io/balancers/cvbodies/holder.go
@@ -126,12 +126,12 @@
 func (h *Holder) reserve(b *body, bytes int64) error {
 	m := h.memory
 	m.mu.Lock()
-	gone, err := m.grow(b, bytes)
+	dropped, err := m.grow(b, bytes)
 	if err == nil {
 		b.size = bytes
 	}
 	m.mu.Unlock()
-	m.endTransfers(gone)
+	m.endTransfers(dropped)
 	return err
 }
 
--- a/io/balancers/cvnode/attempts.go
+++ b/io/balancers/cvnode/attempts.go
@@ -186,7 +186,7 @@
 	e.countLimits(waiter)
 	ctx, span := e.node.Tracer.Start(ctx, "try", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
-	a.response, a.err = e.node.pool.Exchange(ctx, waiter.Instance(), e.connectionLimit(), e.tracedMessage(ctx), e.memory, e.deadline, !e.route.Idempotent())
+	a.response, a.err = e.node.pool.Exchange(ctx, waiter.Instance(), e.connectionLimit(), e.tracedMessage(ctx), e.memory)
 	a.outcome = e.classify(ctx, a.response, a.err)
 	span.SetAttributes(attribute.String("upstream", a.upstream()), attribute.String("outcome", a.outcome.String()))
 	result := a.outcome.result()
@@ -223,7 +223,7 @@
 	}
 	header := e.message.Header().Clone()
 	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(header))
-	return cvrequest.New(e.message.ID(), e.message.Method(), e.message.Target(), e.message.Host(), header, e.message.Parts()...)
+	return e.message.WithHeader(header)
 }
 
 // selectionFields returns log fields with the data on which the choice of the upstream was based.
--- a/io/balancers/cvnode/probes.go
+++ b/io/balancers/cvnode/probes.go
@@ -58,10 +58,10 @@
 	deadline := time.Now().Add(probeTimeout)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	message := cvrequest.New("", http.MethodGet, path, instance.Address(), nil)
+	message := cvrequest.New("", http.MethodGet, path, instance.Address(), nil).WithDeadline(deadline)
 	memory := n.memory.Holder(instance.ID())
 	defer memory.Close()
-	response, err := n.pool.Exchange(ctx, instance, probeConnectionLimit, message, memory, deadline, false)
+	response, err := n.pool.Exchange(ctx, instance, probeConnectionLimit, message, memory)
 	if err != nil {
 		n.metrics.LoadReportRequested("missing")
 		n.Logger.WithField("upstream", instance.ID()).WithError(err).Info("probe failed; no load report")
--- a/io/balancers/cvnode/reload.go
+++ b/io/balancers/cvnode/reload.go
@@ -59,7 +59,7 @@
 		return content
 	}
 	n.settings.Store(settings)
-	n.memory.SetMachineMemory(int64(settings.MemoryMB()) * megabyte)
+	n.limitMemory(settings)
 	n.Logger.Info("settings reloaded")
 	return content
 }
--- a/io/balancers/cvnode/request.go
+++ b/io/balancers/cvnode/request.go
@@ -93,11 +93,10 @@
 		n.Logger.WithFields(log.Fields{"request": id, "version": t.Version(), "host": request.Host}).Info("no route matches the request")
 		return comfreyvale.NewAnswer(http.StatusNotFound, http.Header{n.HeaderNames.RequestID: {id}}, nil)
 	}
-	e := &exchange{
-		node: n, route: route, memory: memory, arrived: arrived, deadline: arrived.Add(n.timeoutFor(request, route)),
-		message: cvrequest.New(id, request.Method, request.RequestURI, request.Host, cvheader.EndToEnd(request.Header), body...),
-		group:   n.nextGroup(route),
-	}
+	deadline := arrived.Add(n.timeoutFor(request, route))
+	message := cvrequest.New(id, request.Method, request.RequestURI, request.Host, cvheader.EndToEnd(request.Header), body...).
+		WithDeadline(deadline).WithNonIdempotent(!route.Idempotent())
+	e := &exchange{node: n, route: route, message: message, memory: memory, arrived: arrived, deadline: deadline, group: n.nextGroup(route)}
 	if evidence, quarantined := n.quarantined(time.Now(), e.message); quarantined {
 		return n.refuse(comfreyvale.CauseQuarantined, id, evidence, maxRetryAfter)
 	}
--- a/io/callers/cvgateway/cvgateway.go
+++ b/io/callers/cvgateway/cvgateway.go
@@ -193,7 +193,7 @@
 // readBody reads the complete body into the memory for requests.
 func (e *exchange) readBody(controller *http.ResponseController, limit int64) ([]byte, error) {
 	source := http.MaxBytesReader(e.writer, e.request.Body, limit)
-	// If the connection supports no deadlines, a body that gave way is noticed when more of it arrives.
+	// If the connection supports no deadlines, an evicted body is noticed when more of it arrives.
 	abort := func() { _ = controller.SetReadDeadline(time.Now()) }
 	// One byte more than the limit lets the source report that the body is too long.
 	parts, err := e.memory.Receive(source, cvmemory.KindRequest, e.caller(), e.request.ContentLength, limit+1, abort)
--- a/io/operators/cvnodemetrics/cvnodemetrics.go
+++ b/io/operators/cvnodemetrics/cvnodemetrics.go
@@ -33,7 +33,7 @@
 	peerMessages *prometheus.CounterVec
 	peerBytes    *prometheus.CounterVec
 	responses    *prometheus.CounterVec
-	turnedAway   *prometheus.CounterVec
+	dropped      *prometheus.CounterVec
 	connections  prometheus.Counter
 	version      prometheus.Gauge
 	upstreams    *prometheus.GaugeVec
@@ -53,7 +53,7 @@
 		peerMessages: newCounterVec("peer_messages_sent_total", "Messages sent to other balancers, by purpose.", "purpose"),
 		peerBytes:    newCounterVec("peer_bytes_sent_total", "Bytes of the messages sent to other balancers, by purpose.", "purpose"),
 		responses:    newCounterVec("response_bytes_total", "Bytes of the bodies of upstreams' responses, by where the upstream is: near for this data centre, else remote.", "upstream"),
-		turnedAway:   newCounterVec("messages_dropped_total", "Messages dropped for lack of memory, by kind.", "kind"),
+		dropped:      newCounterVec("messages_dropped_total", "Messages dropped for lack of memory, by kind.", "kind"),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "request_seconds", Help: "Time from a request's arrival to its answer, by group.",
 			Buckets: prometheus.ExponentialBuckets(firstBucket, 2, bucketCount),
@@ -64,7 +64,7 @@
 			Namespace: namespace, Name: "upstreams", Help: "Upstreams known, by state.",
 		}, []string{"state"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.limited, m.heldBack, m.refusals, m.reachability, m.loadReports, m.peerMessages, m.peerBytes, m.responses, m.turnedAway, m.connections, m.version, m.upstreams,
+	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.limited, m.heldBack, m.refusals, m.reachability, m.loadReports, m.peerMessages, m.peerBytes, m.responses, m.dropped, m.connections, m.version, m.upstreams,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -122,8 +122,8 @@
 	m.responses.WithLabelValues(place).Add(float64(bytes))
 }
 
-// TurnedAway counts a message that was dropped for lack of memory.
-func (m *Metrics) TurnedAway(kind string) { m.turnedAway.WithLabelValues(kind).Inc() }
+// MessageDropped counts a message that was dropped for lack of memory.
+func (m *Metrics) MessageDropped(kind string) { m.dropped.WithLabelValues(kind).Inc() }
 
 // ConnectionOpened counts a new connection to an upstream.
 func (m *Metrics) ConnectionOpened() { m.connections.Inc() }
--- a/io/upstreams/cvpool/cvpool.go
+++ b/io/upstreams/cvpool/cvpool.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,8 +20,8 @@
 )
 
 const (
-	// The data centres of a region are at most 3 ms apart. A lost packet delays a connection by a second, longer than a
-	// request with a target latency below a second can wait.
+	// connectTimeout is far above the delay between data centres, which is at most 3 ms, and below the second by which a
+	// lost packet delays a connection: a request with a target latency below a second cannot wait for it.
 	connectTimeout = 300 * time.Millisecond
 	// unacknowledgedTimeout is how long sent bytes may stay unacknowledged before a connection counts as broken: three
 	// times the longest delay that a lost packet causes.
@@ -40,10 +41,12 @@
 	return fault{cvfault.New(operation, kind, cause)}
 }
 
-// Pool manages the connections to upstream instances. It accepts a response only if it carries the ID of the request or
-// states that the request did not run. It is safe for concurrent use; set the exported fields before the first call.
+// Pool manages the connections to upstream instances. It accepts a response only if it carries the ID of the request, or
+// if it is the first rejection without an ID on its connection. It is safe for concurrent use; set the exported fields
+// before the first call.
 type Pool struct {
-	HeaderNames      cvheadernames.Names
+	HeaderNames cvheadernames.Names
+	// MaxResponseBytes is the maximum size of a response body.
 	MaxResponseBytes int64
 	// OnOpen is called for each new connection.
 	OnOpen func(instance string)
@@ -51,22 +54,25 @@
 	// ID is empty if no request is in flight.
 	OnDrop func(instance, requestID, reason string)
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// endpoints holds the connections by instance ID.
 	endpoints map[string]*endpoint
 }
 
 // endpoint holds the connections to one instance.
 type endpoint struct {
+	// idle holds the connections without a request, the one that was used last at the end.
 	idle []*connection
+	// open counts all connections, those that are being opened included.
 	open int
 }
 
-// Exchange sends a request at most once and returns the complete response, which takes memory until the holder is closed; nonIdempotent states that the request must
-// not run twice. KindUnavailable means that no byte was sent, KindUncertain that the request may have run,
-// KindExhausted that all maxConnections connections are in use, and KindTimeout that the context ended, which closes
-// the connection.
-func (p *Pool) Exchange(ctx context.Context, instance *cvinstance.Instance, maxConnections int, request *cvrequest.Request, memory *cvbodies.Holder, deadline time.Time, nonIdempotent bool) (comfreyvale.Answer, error) {
-	c, err := p.acquire(ctx, instance, maxConnections, nonIdempotent)
+// Exchange sends a request at most once and returns the complete response, whose memory is free when the holder is closed.
+// At most maxConnections connections to the instance are open at a time. The kinds of errors: KindUnavailable means that
+// no byte was sent, KindUncertain that the request may have run, KindExhausted that all connections are in use, and
+// KindTimeout that the context ended, which closes the connection.
+func (p *Pool) Exchange(ctx context.Context, instance *cvinstance.Instance, maxConnections int, request *cvrequest.Request, memory *cvbodies.Holder) (comfreyvale.Answer, error) {
+	c, err := p.acquire(ctx, instance, maxConnections, request.NonIdempotent())
 	if err != nil {
 		return comfreyvale.Answer{}, err
 	}
@@ -74,7 +80,7 @@
 	if !c.start(e) {
 		return comfreyvale.Answer{}, fail("exchange", comfreyvale.KindUnavailable, errors.New("the connection was closed before it was used"))
 	}
-	head := p.requestHead(instance, request, time.Until(deadline))
+	head := p.requestHead(instance, request, time.Until(request.Deadline()))
 	buffers := append(net.Buffers{head}, request.Parts()...)
 	n, err := buffers.WriteTo(c.conn)
 	c.recordSent(e, err == nil)
@@ -103,6 +109,7 @@
 			p.mu.Unlock()
 			return c, nil
 		}
+		// Closing needs the lock.
 		defer c.close()
 	}
 	if open := ep.open; open >= maxConnections {
@@ -127,6 +134,7 @@
 	return ep
 }
 
+// dial opens a connection, which the caller has already counted in its endpoint, and starts to read from it.
 func (p *Pool) dial(ctx context.Context, instance *cvinstance.Instance) (*connection, error) {
 	dialer := &net.Dialer{Timeout: connectTimeout, Control: cvtcptimeout.Control(unacknowledgedTimeout)}
 	conn, err := dialer.DialContext(ctx, "tcp", instance.Address())
@@ -153,6 +161,7 @@
 	return true
 }
 
+// release makes a connection available for the next request.
 func (p *Pool) release(c *connection) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -166,11 +175,8 @@
 	defer p.mu.Unlock()
 	ep := p.endpoint(instance)
 	ep.open--
-	for n, i := range ep.idle {
-		if i == c && c != nil {
-			ep.idle = append(ep.idle[:n], ep.idle[n+1:]...)
-			break
-		}
+	if n := slices.Index(ep.idle, c); n >= 0 {
+		ep.idle = slices.Delete(ep.idle, n, n+1)
 	}
 	if ep.open <= 0 {
 		delete(p.endpoints, instance)
