Lead the draining case of TestCauses to the draining upstream

Cause: thirty requests in a row, each sent alone, may all go to the other upstream, as the default policy keeps to the one with the lower latency; then nobody has heard of the draining. The other upstream fails now, so the request ends at the draining one.

--- a/io/balancers/cvbalancer/causes_test.go
+++ b/io/balancers/cvbalancer/causes_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -133,9 +134,11 @@
 			cause: comfreyvale.CauseDraining, condition: "said so", subject: "g-1",
 			fault: func(s *system) {
 				s.setFault(0, `{"drain":true}`)
-				for range 30 {
-					s.send(0, "GET", "/lots/1", nil)
-				}
+				// The other upstream fails, so that the request ends at the draining one.
+				s.setFault(1, `{"failFast":true}`)
+				r := s.send(0, "GET", "/lots/1", nil)
+				require.Equal(s.t, http.StatusOK, r.status, r.body)
+				s.setFault(1, `{}`)
 			},
 			call: lookup,
 		},
--- a/io/balancers/cvbalancer/harness_test.go
+++ b/io/balancers/cvbalancer/harness_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -77,10 +79,7 @@
 func (s *system) startBalancer(i int) {
 	addresses := make([]string, 3)
 	for j := range addresses {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(s.t, err)
-		addresses[j] = l.Addr().String()
-		l.Close()
+		addresses[j] = freeAddress(s.t)
 	}
 	content := fmt.Sprintf("vm: entry-%d\ndataCentre: dc-1\nlisten: %s\nadmin: %s\npeer: %s\nlog: {address: \"http://l\"}\nvmList: {address: \"http://l\", poll: 100ms}\nstop: {lag: 0s, limit: 10s}\n%s",
 		i+1, addresses[0], addresses[1], addresses[2], s.settings)
@@ -104,6 +103,26 @@
 	s.stops = append(s.stops, func() { cancel(); <-done })
 }
 
+// lastPort counts the ports that freeAddress has tried.
+var lastPort atomic.Int32
+
+// freeAddress returns an address on which nothing listens. Its port is below those that outgoing connections get, one of
+// which could otherwise take it before the balancer listens.
+func freeAddress(t *testing.T) string {
+	const firstPort, ports, portsPerProcess = 12000, 10000, 100
+	for range ports {
+		port := firstPort + (os.Getpid()*portsPerProcess+int(lastPort.Add(1)))%ports
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		require.NoError(t, l.Close())
+		return l.Addr().String()
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
 func (s *system) publish(id string, base int64, content string) {
 	p := &cvpublisher.Publisher{Log: s.log, ID: id, Author: "tester", Revision: "r-" + id, Out: io.Discard}
 	publication, err := p.Prepare(context.Background(), time.Now(), []*cvwire.ServiceFile{{Service: "s", Path: "s/comfreyvale.yaml", Content: []byte(content)}}, nil)
