Pass VMs and roster on to the table one at a time

Callers of `run` saw, right after a start: 503 noUpstream although /ready had said 200 and the VM list had two upstreams, until the next reading of the list.

The list counted as read before it was in force. And the view of the roster and the list of VMs both end in applyVMs, in goroutines of their own: one that had taken the empty list was overtaken by the other and then put the empty list in force. The same at any later change of the roster: an older VM list could come back for one interval of polling.

No test shows the race in each run: it has no hook between the two steps.

--- a/io/balancers/cvbalancer/cluster.go
+++ b/io/balancers/cvbalancer/cluster.go
@@ -151,7 +151,11 @@
 	b.applyVMs()
 }
 
+// applyVMs sets the current VMs and the number of balancers in the table. Calls are serialised, so that none overwrites
+// them with an earlier state.
 func (b *Balancer) applyVMs() {
+	b.tableUpdate.Lock()
+	defer b.tableUpdate.Unlock()
 	b.mu.Lock()
 	vms := b.vms
 	b.mu.Unlock()
--- a/io/balancers/cvbalancer/cvbalancer.go
+++ b/io/balancers/cvbalancer/cvbalancer.go
@@ -82,6 +82,9 @@
 	// vmListState is the last logged state of the VM list.
 	vmListState string
 
+	// tableUpdate is held while the VMs and the roster are passed on to the table.
+	tableUpdate sync.Mutex
+
 	mu         sync.Mutex
 	quarantine cvquarantine.Quarantine
 	vms        []comfreyvale.VM
@@ -203,8 +206,9 @@
 	for ctx.Err() == nil {
 		vms, err := b.VMList.List(ctx)
 		if err == nil {
-			b.vmListRead.Store(true)
 			b.setVMs(vms)
+			// Without its upstreams this balancer must not report ready.
+			b.vmListRead.Store(true)
 		}
 		b.recordVMListState(err)
 		cvpause.For(ctx, b.Settings.VMListPollInterval())
