--- a/core/cvhome/cvhome.go
+++ b/core/cvhome/cvhome.go
@@ -40,7 +40,11 @@
 	at       time.Time
 	window   time.Duration
 	released bool
+	// granted is set once this home has granted the claim, and imported if another home may have granted it.
 	granted  bool
+	imported bool
+	// queued is set once the claim was queued for this home's journal.
+	queued bool
 }
 
 // gap is a set of keys whose claims at an earlier home are lost, because no journal in the log holds them.
@@ -67,7 +71,7 @@
 		return h.replyToHeld(held, request)
 	}
 	if h.sealed && !immediate {
-		return &cvwire.ClaimReply{Verdict: cvwire.ClaimReply_UNAVAILABLE, Condition: "the home's journal was closed"}
+		return sealedReply()
 	}
 	if evidence, lost := h.gapEvidence(now, request.GetKey()); lost && !immediate {
 		return &cvwire.ClaimReply{Verdict: cvwire.ClaimReply_UNKNOWN, Condition: evidence}
@@ -77,10 +81,15 @@
 		c.granted = true
 		return &cvwire.ClaimReply{Verdict: cvwire.ClaimReply_GRANTED}
 	}
-	h.queue = append(h.queue, c.message())
+	h.enqueue(c)
 	return nil
 }
 
+func (h *Home) enqueue(c *claim) {
+	c.queued = true
+	h.queue = append(h.queue, c.message())
+}
+
 // activeClaim returns the unreleased claim of a key whose window has not passed, or nil.
 func (h *Home) activeClaim(now time.Time, key string) *claim {
 	c := h.claims[key]
@@ -96,18 +105,29 @@
 	return !lost && h.activeClaim(now, key) == nil
 }
 
-// replyToHeld returns nil if the request repeats the held claim and that claim still waits for the journal.
+// replyToHeld returns nil if the request repeats the held claim and that claim has to wait for the journal. A claim of an
+// earlier home has to wait too, because the journal of that home may not hold it.
 func (h *Home) replyToHeld(held *claim, request *cvwire.ClaimRequest) *cvwire.ClaimReply {
 	if !bytes.Equal(held.digest, request.GetDigest()) {
 		return &cvwire.ClaimReply{Verdict: cvwire.ClaimReply_REUSED}
 	}
-	if held.grant == request.GetGrant() {
-		if held.granted {
-			return &cvwire.ClaimReply{Verdict: cvwire.ClaimReply_GRANTED}
-		}
-		return nil
+	if held.grant != request.GetGrant() {
+		return &cvwire.ClaimReply{Verdict: cvwire.ClaimReply_HELD, Holder: held.holder, Grant: held.grant}
 	}
-	return &cvwire.ClaimReply{Verdict: cvwire.ClaimReply_HELD, Holder: held.holder, Grant: held.grant}
+	if held.granted {
+		return &cvwire.ClaimReply{Verdict: cvwire.ClaimReply_GRANTED}
+	}
+	if h.sealed {
+		return sealedReply()
+	}
+	if !held.queued {
+		h.enqueue(held)
+	}
+	return nil
+}
+
+func sealedReply() *cvwire.ClaimReply {
+	return &cvwire.ClaimReply{Verdict: cvwire.ClaimReply_UNAVAILABLE, Condition: "the home's journal was closed"}
 }
 
 // gapEvidence returns the evidence of the first unexpired gap that covers a key.
@@ -232,9 +252,9 @@
 	return c != nil && !c.granted && !c.released && !h.sealed
 }
 
-// Import adds the claims of an earlier home as granted. A grant is released if any home has released it. Its holder is
-// that of the claim with the most moves: a departed home's journal does not hold moves, and another member's copy may
-// be older.
+// Import adds the claims of an earlier home, which may have granted them. A grant is released if any home has released
+// it. Its holder is that of the claim with the most moves: a departed home's journal does not hold moves, and another
+// member's copy may be older.
 func (h *Home) Import(now time.Time, claims []*cvwire.Claim) {
 	h.init()
 	for _, m := range claims {
@@ -244,6 +264,7 @@
 
 func (h *Home) importClaim(now time.Time, m *cvwire.Claim) {
 	if known := h.grants[m.GetGrant()]; known != nil {
+		known.imported = true
 		known.released = known.released || m.GetReleased()
 		if m.GetMoves() > known.moves {
 			known.holder, known.moves = m.GetHolder(), m.GetMoves()
@@ -256,7 +277,7 @@
 	}
 	c := &claim{
 		key: m.GetKey(), grant: m.GetGrant(), holder: m.GetHolder(), moves: m.GetMoves(), digest: m.GetDigest(),
-		at: at, window: time.Duration(m.GetWindowMs()) * time.Millisecond, released: m.GetReleased(), granted: true,
+		at: at, window: time.Duration(m.GetWindowMs()) * time.Millisecond, released: m.GetReleased(), imported: true,
 	}
 	held := h.claims[c.key]
 	h.store(c)
@@ -278,10 +299,12 @@
 }
 
 // Handover returns the unexpired claims of the keys for which belongs returns true, released and waiting ones included.
+// Once the journal is sealed, waiting ones are void and are left out: another home may have granted their keys.
 func (h *Home) Handover(now time.Time, belongs func(key string) bool) []*cvwire.Claim {
 	var claims []*cvwire.Claim
 	for _, c := range h.order {
-		if now.Before(c.at.Add(c.window)) && belongs(c.key) {
+		void := h.sealed && !c.granted && !c.imported
+		if now.Before(c.at.Add(c.window)) && belongs(c.key) && !void {
 			claims = append(claims, c.message())
 		}
 	}
--- a/core/cvhome/cvhome_test.go
+++ b/core/cvhome/cvhome_test.go
@@ -55,3 +55,57 @@
 		})
 	}
 }
+
+// TestVoidClaimOfEvictedHome guards against a second grant of a key: a home that was paused and evicted takes a claim
+// before it reads its eviction, joins again, and hands that claim over after its successor has granted the key.
+func TestVoidClaimOfEvictedHome(t *testing.T) {
+	now := time.Unix(1000, 0)
+	request := func(grant string) *cvwire.ClaimRequest {
+		return &cvwire.ClaimRequest{Key: "k", Grant: grant, Holder: "holder of " + grant, Digest: []byte{1}, WindowMs: 60_000}
+	}
+	evicted := &cvhome.Home{Incarnation: "evicted#1"}
+	require.Nil(t, evicted.Claim(now, request("void"), false))
+	successor := &cvhome.Home{Incarnation: "successor"}
+	require.Nil(t, successor.Claim(now, request("valid"), false))
+	require.NotNil(t, successor.NextRecord())
+	require.Equal(t, []string{"valid"}, successor.Commit())
+
+	evicted.Seal()
+	rejoined := &cvhome.Home{Incarnation: "evicted#2"}
+	rejoined.Import(now, evicted.Handover(now, allKeys))
+	successor.Import(now, rejoined.Handover(now, allKeys))
+
+	for _, grant := range []string{"void", "later"} {
+		reply := successor.Claim(now, request(grant), false)
+		require.Equal(t, cvwire.ClaimReply_HELD, reply.GetVerdict(), grant)
+		require.Equal(t, "valid", reply.GetGrant())
+	}
+}
+
+// TestImportedClaimIsJournalled guards against a grant that no journal holds: a claim that still waited for the journal
+// of its home when the key moved, and that the home was evicted before it wrote.
+func TestImportedClaimIsJournalled(t *testing.T) {
+	now := time.Unix(1000, 0)
+	request := &cvwire.ClaimRequest{Key: "k", Grant: "g", Holder: "holder", Digest: []byte{1}, WindowMs: 60_000}
+	earlier := &cvhome.Home{Incarnation: "earlier"}
+	require.Nil(t, earlier.Claim(now, request, false))
+	home := &cvhome.Home{Incarnation: "home"}
+	home.Import(now, earlier.Handover(now, allKeys))
+
+	require.Nil(t, home.Claim(now, request, false), "the claim was granted before the journal held it")
+	require.Nil(t, home.Claim(now, request, false))
+	record := home.NextRecord()
+	require.Len(t, record.GetClaims(), 1)
+	require.Equal(t, []string{"g"}, home.Commit())
+	require.Equal(t, cvwire.ClaimReply_GRANTED, home.Claim(now, request, false).GetVerdict())
+}
+
+// TestClaimAfterSeal guards against a claim that waits in vain at a home whose journal was sealed.
+func TestClaimAfterSeal(t *testing.T) {
+	now := time.Unix(1000, 0)
+	request := &cvwire.ClaimRequest{Key: "k", Grant: "g", Holder: "holder", Digest: []byte{1}, WindowMs: 60_000}
+	home := &cvhome.Home{Incarnation: "home"}
+	require.Nil(t, home.Claim(now, request, false))
+	home.Seal()
+	require.Equal(t, cvwire.ClaimReply_UNAVAILABLE, home.Claim(now, request, false).GetVerdict())
+}
--- a/core/cvhome/explore_test.go
+++ b/core/cvhome/explore_test.go
@@ -14,11 +14,12 @@
 
 // variant selects the claim protocol, or a faulty form of it that leaves out one step.
 type variant struct {
-	unjournalled, ignoreSeal, skipImport, skipOldestClaim bool
+	unjournalled, ignoreSeal, skipImport, skipOldestClaim, handOverVoid bool
 }
 
 // world models two homes, one key, and three claims of that key by two holders. The first home's journal can be sealed
-// at any time, and the home can continue after that. Messages can arrive late, twice or never.
+// at any time, and the home can continue after that, or join again and hand its claims over. Messages can arrive late,
+// twice or never.
 type world struct {
 	variant    variant
 	now        time.Time
@@ -30,6 +31,7 @@
 	seen       int
 	evicted    bool
 	takenOver  bool
+	rejoined   bool
 	granted    map[string]bool
 	state      map[string]string
 	dispatched []string
@@ -87,6 +89,9 @@
 	if w.evicted && !w.takenOver {
 		steps["take over"] = w.takeOver
 	}
+	if w.takenOver && !w.rejoined {
+		steps["rejoin"] = w.rejoin
+	}
 	return steps
 }
 
@@ -121,24 +126,45 @@
 	if w.variant.skipImport {
 		return
 	}
+	claims := w.sealedClaims()
+	if w.variant.skipOldestClaim && len(claims) > 0 {
+		claims = claims[1:]
+	}
+	w.second.Import(w.now, claims)
+}
+
+// sealedClaims returns the claims that the first home's journal holds before its seal.
+func (w *world) sealedClaims() []*cvwire.Claim {
 	sealed := &cvsealed.Journal{}
 	for _, record := range w.journal {
 		if sealed.Add(record) {
 			break
 		}
 	}
-	claims := sealed.Claims()
-	if w.variant.skipOldestClaim && len(claims) > 0 {
-		claims = claims[1:]
-	}
-	w.second.Import(w.now, claims)
+	return sealed.Claims()
+}
+
+// rejoin lets the first home join again under another incarnation, which imports the claims of the earlier one and hands
+// all of them over to the second home.
+func (w *world) rejoin() {
+	w.rejoined = true
+	all := func(string) bool { return true }
+	if !w.variant.handOverVoid {
+		w.first.Seal()
+	}
+	again := &cvhome.Home{Incarnation: "first again"}
+	again.Import(w.now, w.first.Handover(w.now, all))
+	again.Import(w.now, w.sealedClaims())
+	w.first.Seal()
+	w.inFlight = nil
+	w.second.Import(w.now, again.Handover(w.now, all))
 }
 
 // fingerprint returns a text that is equal for states with the same possible continuations.
 func (w *world) fingerprint() string {
 	all := func(string) bool { return true }
 	text := fmt.Sprint(w.journal, w.first.Handover(w.now, all), w.second.Handover(w.now, all), w.inFlight, w.appended, w.seen,
-		w.evicted, w.takenOver, w.granted, w.state, len(w.dispatched), w.first.Sealed(), w.first.Journalled())
+		w.evicted, w.takenOver, w.rejoined, w.granted, w.state, len(w.dispatched), w.first.Sealed(), w.first.Journalled())
 	for _, g := range grants {
 		text += fmt.Sprint(w.first.Waiting(g))
 	}
@@ -195,6 +221,7 @@
 		"does not look for a seal":         {variant: variant{ignoreSeal: true}, broken: true},
 		"takes over without journals":      {variant: variant{skipImport: true}, broken: true},
 		"does not import the oldest claim": {variant: variant{skipOldestClaim: true}, broken: true},
+		"hands void claims over":           {variant: variant{handOverVoid: true}, broken: true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
