--- a/core/cvrequest/cvrequest.go
+++ b/core/cvrequest/cvrequest.go
@@ -20,7 +20,8 @@
 	nonIdempotent bool
 }
 
-// New returns a request with the parts of its body. The target is unchanged, byte for byte, and the header holds only the end-to-end headers.
+// New returns a request that may run twice and has no deadline. The target is that of the request line as the caller sent
+// it, header holds the end-to-end headers alone, and body the parts of the body.
 func New(id, method, target, host string, header http.Header, body ...[]byte) *Request {
 	return &Request{id: id, method: method, target: target, host: host, header: header, parts: body}
 }
@@ -32,7 +33,7 @@
 	return &c
 }
 
-// WithNonIdempotent returns a copy that must not run twice if nonIdempotent is set.
+// WithNonIdempotent returns a copy that must not run twice if nonIdempotent is set, and may otherwise.
 func (r *Request) WithNonIdempotent(nonIdempotent bool) *Request {
 	c := *r
 	c.nonIdempotent = nonIdempotent
--- a/io/balancers/cvbalancer/cvbalancer.go
+++ b/io/balancers/cvbalancer/cvbalancer.go
@@ -44,8 +44,10 @@
 const (
 	// readHeaderTimeout bounds the time to receive a request header from a caller or an operator.
 	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
+	// idleTimeout is how long a caller's connection may stay open without a request.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes limits a request header of a caller.
+	maxHeaderBytes = 64 << 10
 	// tickInterval is the interval between checks for changes that depend on time alone.
 	tickInterval = 20 * time.Millisecond
 	// expireInterval is the interval between removals of expired claims and quarantine entries.
@@ -63,9 +65,11 @@
 	// Log stores the configuration, the roster and the journals of claims.
 	Log comfreyvale.Log
 	// VMList lists the upstreams and balancers of the platform.
-	VMList     comfreyvale.VMList
-	Logger     log.Interface
-	Tracer     trace.Tracer
+	VMList comfreyvale.VMList
+	Logger log.Interface
+	Tracer trace.Tracer
+
+	// The parts of the process, set by build.
 	process    string
 	metrics    *cvmetrics.Metrics
 	recorder   *recorder
@@ -77,6 +81,8 @@
 	gossip     *cvgossip.Gossip
 	claims     *cvclaims.Claims
 	gateway    *cvgateway.Gateway
+
+	// vmListRead is set once the upstreams of a VM list are in force.
 	vmListRead atomic.Bool
 	stopping   atomic.Bool
 	// vmListState is the last logged state of the VM list.
--- a/io/balancers/cvnode/harness_test.go
+++ b/io/balancers/cvnode/harness_test.go
@@ -73,7 +73,8 @@
 		}
 		route := cvroute.New(r.Prefix, "h", r.Prefix, splits...).WithTimes(r.Timeout, r.Timeout).WithMaxAttempts(r.Attempts)
 		if r.Idempotent {
-			route = route.WithIdempotent(false)
+			const largeResponses = false
+			route = route.WithIdempotent(largeResponses)
 		}
 		routes = append(routes, route)
 	}
@@ -94,6 +95,7 @@
 	return cvinstance.New(id, group, address, "dc", 4).WithState(draining, 0).WithSequence(startUnixMilli, sequence), nil
 }
 
+// logRecorder keeps the log lines of a balancer.
 type logRecorder struct {
 	mu      sync.Mutex
 	entries []*log.Entry
@@ -106,6 +108,7 @@
 	return nil
 }
 
+// messages returns the messages of the lines about a request.
 func (l *logRecorder) messages(id string) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -118,6 +121,7 @@
 	return found
 }
 
+// fields returns the fields of the lines about a request.
 func (l *logRecorder) fields(id string) []log.Fields {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -147,6 +151,7 @@
 	memoryMB int
 }
 
+// runningNode is a balancer in the test process.
 type runningNode struct {
 	address, readyAddress string
 	logs                  *logRecorder
@@ -213,11 +218,7 @@
 	at := func(index, port int) string { return fmt.Sprintf("127.0.1.%d:%d", index+1, d.ports[port]) }
 	index := len(d.nodes)
 	r := &runningNode{address: at(index, 0), readyAddress: at(index, 1), logs: &logRecorder{}, done: make(chan error, 1)}
-	text := fmt.Sprintf("vm: v%d\ndataCentre: dc\nlisten: %q\nready: %q\npeer: %q\nnews: %q\nseeds: [%q]\ndirectory: \"127.0.0.1:1\"\n"+
-		"terms:\n  stop: 6s\n  notice: 100ms\n  retryRatio: 0.2\n  retrySlack: 240\n", index, r.address, r.readyAddress, at(index, 2), at(index, 3), at(0, 2))
-	if d.memoryMB > 0 {
-		text += fmt.Sprintf("memory: %d\n", d.memoryMB)
-	}
+	text := d.settings(index, r, at(index, 2), at(index, 3), at(0, 2))
 	settings, err := cvnodesettings.Parse("test", []byte(text))
 	require.NoError(d.t, err)
 	if d.settingsFile != "" {
@@ -238,6 +239,16 @@
 	return r
 }
 
+// settings returns the settings file of a balancer. The seed is the peer address of the first one.
+func (d *deployment) settings(index int, r *runningNode, peer, news, seed string) string {
+	text := fmt.Sprintf("vm: v%d\ndataCentre: dc\nlisten: %q\nready: %q\npeer: %q\nnews: %q\nseeds: [%q]\ndirectory: \"127.0.0.1:1\"\n"+
+		"terms:\n  stop: 6s\n  notice: 100ms\n  retryRatio: 0.2\n  retrySlack: 240\n", index, r.address, r.readyAddress, peer, news, seed)
+	if d.memoryMB > 0 {
+		text += fmt.Sprintf("memory: %d\n", d.memoryMB)
+	}
+	return text
+}
+
 func (r *runningNode) isReady() bool {
 	response, err := http.Get("http://" + r.readyAddress + "/ready")
 	if err != nil {
--- a/io/callers/cvhttpserver/connection.go
+++ b/io/callers/cvhttpserver/connection.go
@@ -20,10 +20,16 @@
 	maxPipelined = 32
 	// bodyTimeout limits the time to receive a request with its body. It is longer than any deadline of the callers.
 	bodyTimeout = 10 * time.Second
-	// memoryRetryAfter is when a caller may send a request again for which there was no memory, in seconds.
+	// memoryRetryAfter is the value of Retry-After, in seconds, in the response to a request for which there is no memory.
 	memoryRetryAfter = "1"
 )
 
+// ErrCallerDisconnected is the cause of a context that was cancelled because the caller closed its connection.
+var ErrCallerDisconnected = errors.New("caller closed the connection")
+
+// errClosing means that the server, not the caller, closes the connection.
+var errClosing = errors.New("server is closing the connection")
+
 // connection is one connection of a caller. One goroutine reads the requests, one writes the responses, and each
 // request is handled in a separate one.
 type connection struct {
@@ -50,6 +56,7 @@
 	idleSince time.Time
 }
 
+// exchange is a request that was received and its response.
 type exchange struct {
 	received
 	response comfreyvale.Answer
@@ -162,12 +169,6 @@
 	c.discardInput(c.reader)
 }
 
-// ErrCallerDisconnected is the cause of a context that was cancelled because the caller closed its connection.
-var ErrCallerDisconnected = errors.New("caller closed the connection")
-
-// errClosing means that the server, not the caller, closes the connection.
-var errClosing = errors.New("server is closing the connection")
-
 // awaitRequest waits for the first byte of a request. It returns errClosing if the connection is closing or was idle
 // for too long.
 func (c *connection) awaitRequest() error {
@@ -208,7 +209,8 @@
 	return nil
 }
 
-// beginRequest returns false if the connection accepts no further request.
+// beginRequest counts a request that was received as in progress. It returns false if the connection accepts no further
+// request.
 func (c *connection) beginRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -240,8 +242,8 @@
 	return c.pending == 0
 }
 
-// handle starts a request that is not repeatable only when all earlier requests are answered: an earlier response that
-// closes the connection tells the caller that the later requests were not read.
+// handle sets the response of an exchange. It starts a request that is not repeatable only when all earlier requests are
+// answered: an earlier response that closes the connection tells the caller that the later requests were not read.
 func (c *connection) handle(ctx context.Context, e *exchange) {
 	defer close(e.done)
 	if e.previous != nil && !c.server.Repeatable(e.request) {
--- a/io/upstreams/cvexchanger/cvexchanger.go
+++ b/io/upstreams/cvexchanger/cvexchanger.go
@@ -20,11 +20,13 @@
 
 const (
 	connectTimeout = 500 * time.Millisecond
-	idleTimeout    = 90 * time.Second
-	// Lower case, because net/http resends a request whose header map contains canonicalKeyHeader.
+	// idleTimeout is how long a connection without requests stays open.
+	idleTimeout = 90 * time.Second
+	// keyHeader is canonicalKeyHeader in lower case. net/http resends a request whose header map has the canonical form.
 	keyHeader          = "idempotency-key"
 	canonicalKeyHeader = "Idempotency-Key"
-	maxHeaderBytes     = 64 << 10
+	// maxHeaderBytes limits a response header.
+	maxHeaderBytes = 64 << 10
 )
 
 type fault struct{ cvfault.Fault }
@@ -82,7 +84,8 @@
 	return nil, fail("exchange", comfreyvale.KindUnavailable, err)
 }
 
-// checkIdentity checks that a response belongs to its request, as far as it says so.
+// checkIdentity returns an error for a response that carries the ID of another request. It removes the statement that the
+// request did not run from one without an ID on a reused connection.
 func checkIdentity(request *http.Request, response *http.Response, reused bool) (*http.Response, error) {
 	id, want := response.Header.Get(cvheader.RequestID), request.Header.Get(cvheader.RequestID)
 	if id != "" && id != want {
