Review cases 6 and 8: the dose in turns, and the same work without the disruption

Case 6 brings additional bytes for 5 s at a time with 3 s between, as long as the site file's garble lasts. In case 8 the servers work for the same 2.5 s with TROUBLE=0, after they have read the body, so that its requests meet the SIGTERM too.

--- a/review/kit-2/extra.go
+++ b/review/kit-2/extra.go
@@ -14,10 +14,14 @@
 
 func init() { plays["late-extra"] = playLateExtra }
 
-// playLateExtra sends requests that may run once, one after the other. With the disruption, three of five servers follow one answer in 34 by
-// additional bytes, late, where the next answer of the connection is due.
+// playLateExtra sends requests that may run once, one after the other. With the disruption, three of five servers follow
+// one answer in 34 by additional bytes, late, where the next answer of the connection is due. They do so for five seconds
+// at a time, with three seconds between.
 func playLateExtra(w *world) (breaches []string, err error) {
-	const requests, servers, faulty, every = 600, 5, 3, 34
+	const (
+		requests, servers, faulty, every = 1000, 5, 3, 34
+		on, turn                         = 5 * time.Second, 8 * time.Second
+	)
 	var mu sync.Mutex
 	answered := 0
 	for n := range servers {
@@ -31,10 +35,11 @@
 				}
 				mu.Lock()
 				defer mu.Unlock()
-				if n < faulty {
+				inTrouble := w.trouble && n < faulty && time.Since(w.began)%turn < on
+				if inTrouble {
 					answered++
 				}
-				if w.trouble && n < faulty && answered%every == 0 {
+				if inTrouble && answered%every == 0 {
 					c.late = []byte(lateRejection)
 				}
 				return true
--- a/review/kit-2/late.go
+++ b/review/kit-2/late.go
@@ -12,7 +12,7 @@
 func init() { plays["late-read"] = playLateRead }
 
 // playLateRead sends long requests to two balancers, one of which is stopped meanwhile as planned work. Servers begin to
-// work on each request at once. With the disruption, they read its body only some time later.
+// work on each request at once and answer it some time later. With the disruption, they read its body only then.
 func playLateRead(w *world) (breaches []string, err error) {
 	const (
 		requests = 8
@@ -32,6 +32,9 @@
 					time.Sleep(later)
 				}
 				n, err := io.Copy(io.Discard, request.Body)
+				if !w.trouble {
+					time.Sleep(later)
+				}
 				if err != nil {
 					w.record("server %s: the body of request %s ended after %d of %d bytes: %v", s.id, id, n, request.ContentLength, err)
 					return true
