--- a/review/kit-2/late.go
+++ b/review/kit-2/late.go
@@ -70,10 +70,11 @@
 	group.Wait()
 	for _, r := range results {
 		runs := w.runsOf(r.id)
-		// The request was sent before the SIGTERM. It ended far from its deadline and from the last sixth of the grace period.
+		// The request was sent before the SIGTERM. It ended while its server was at work on it, far from its deadline and from
+		// the last sixth of the grace period.
 		ended := r.sentAt.Add(r.took)
 		ownAnswer := r.err != nil || r.status != http.StatusOK && r.signature == ""
-		if len(runs) > 0 && ownAnswer && ended.After(term) && r.took < timeout*7/10 && ended.Sub(term) < grace*5/6 {
+		if len(runs) > 0 && ended.Before(runs[0].at.Add(later)) && ownAnswer && ended.After(term) && r.took < timeout*7/10 && ended.Sub(term) < grace*5/6 {
 			breaches = append(breaches, fmt.Sprintf("LOST: request %s was broken off %d ms after it was sent, while %s was at work on it; the client got %d", r.id, r.took.Milliseconds(), runs[0].server, r.status))
 		}
 	}
--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -55,6 +56,9 @@
 		return cannotRun
 	}
 	breaches, err := p(w)
+	if err == nil && len(w.runs) == 0 {
+		err = errors.New("no request reached a server")
+	}
 	status, verdict := held, "the rule held"
 	switch {
 	case err != nil:
