Refuse responses without a length whose connection did not end in order

Callers saw: with `serve`, a server answered a long upload at once with a response that had neither a length nor chunks, sent a part of its body and reset the connection while the upload was still being written. The caller got the part, or an empty body, as a complete response.

Cause: the kernel reports a reset to one system call only. When the write of the request got it, the read of the response saw an ordinary end of the input, which ends such a body. Nor was it checked whether the upstream had received the whole request when it closed the connection.

Change: such a body counts as whole only if the request was completely written and the kernel says that the peer closed the connection in order and has acknowledged everything (cvtcpstate). Otherwise the exchange is uncertain, as for any broken connection: repeatable requests may be tried again, others get 502.

Why it works: a reset leaves the socket in another state than an orderly close, whichever call got the error and also if it arrives behind the end of the input; an end that overtook the request leaves bytes that are not acknowledged.

--- a/io/upstreams/cvpool/connection.go
+++ b/io/upstreams/cvpool/connection.go
@@ -20,6 +20,7 @@
 	"comfreyvale/core/cvmemory"
 	"comfreyvale/core/cvrequest"
 	"comfreyvale/io/balancers/cvbodies"
+	"comfreyvale/io/balancers/cvtcpstate"
 )
 
 const (
@@ -56,8 +57,9 @@
 	memory *cvbodies.Holder
 	// done is closed when answer or err is set.
 	done chan struct{}
-	// sent reports whether the request was completely written.
-	sent bool
+	// sent reports whether the request was completely written. It is final when written is closed.
+	sent    bool
+	written chan struct{}
 	// staleResponses counts the responses to other requests.
 	staleResponses int
 	answer         comfreyvale.Answer
@@ -65,7 +67,7 @@
 }
 
 func newExchange(request *cvrequest.Request, memory *cvbodies.Holder) *exchange {
-	return &exchange{request: request, memory: memory, done: make(chan struct{})}
+	return &exchange{request: request, memory: memory, done: make(chan struct{}), written: make(chan struct{})}
 }
 
 // connection carries one request at a time. One goroutine reads all data, so that unexpected bytes are detected before
@@ -122,6 +124,7 @@
 	answeredEarly := c.answeredEarly
 	c.answeredEarly = false
 	c.mu.Unlock()
+	close(e.written)
 	if answeredEarly && complete {
 		c.pool.release(c)
 	}
@@ -191,6 +194,12 @@
 		c.finish(e, comfreyvale.Answer{}, fail("exchange", comfreyvale.KindUncertain, errors.Wrap(err, "the response body cannot be read")))
 		return false
 	}
+	if response.Body != http.NoBody && endsWithConnection(response) {
+		if err := c.checkEnd(e); err != nil {
+			c.finish(e, comfreyvale.Answer{}, fail("exchange", comfreyvale.KindUncertain, errors.Wrap(err, "the response body may be incomplete")))
+			return false
+		}
+	}
 	answer := comfreyvale.NewAnswer(response.StatusCode, response.Header, body...)
 	c.recordKeepAlive(response.Header.Get("Keep-Alive"))
 	return c.deliver(e, answer, closesConnection(response) || c.anonymousRejection(response))
@@ -250,6 +259,20 @@
 	return e.memory.Receive(response.Body, cvmemory.KindAnswer, c.instance, response.ContentLength, c.pool.MaxResponseBytes, c.close)
 }
 
+// checkEnd returns an error if a body that ends with its connection may be incomplete: the connection was reset, or the
+// upstream has closed it before it received the whole request.
+func (c *connection) checkEnd(e *exchange) error {
+	// Ends a write for which the upstream has no room.
+	if err := c.conn.SetWriteDeadline(time.Now()); err != nil {
+		return err
+	}
+	<-e.written
+	if !e.sent {
+		return errors.New("the connection ended before the request was completely written")
+	}
+	return cvtcpstate.CheckEnd(c.conn)
+}
+
 // matches reports whether a response carries the request's ID, or is a rejection without an ID.
 func (c *connection) matches(e *exchange, response *http.Response) bool {
 	return response.Header.Get(c.pool.HeaderNames.RequestID) == e.request.ID() || c.anonymousRejection(response)
@@ -267,7 +290,12 @@
 
 // closesConnection reports whether the connection ends after a response, by its header or as the end of its body.
 func closesConnection(response *http.Response) bool {
-	return response.Close || (response.ContentLength < 0 && len(response.TransferEncoding) == 0)
+	return response.Close || endsWithConnection(response)
+}
+
+// endsWithConnection reports whether a response has neither a length nor chunks.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
 func (c *connection) recordKeepAlive(header string) {
