--- a/io/balancers/cvbalancer/early_test.go
+++ b/io/balancers/cvbalancer/early_test.go
@@ -1,45 +1,28 @@
 package cvbalancer_test
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"comfreyvale"
+	"comfreyvale/io/standins/cvrawserver"
 )
 
-// startRaw runs an upstream of group g that answers each request, once it has read its head, with the text that answer
-// returns, and ends the connection with a reset.
-func (s *system) startRaw(answer func(request *http.Request) string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// startRaw adds an upstream to group g and waits until the balancer uses it.
+func (s *system) startRaw(server *cvrawserver.Server) {
+	address, err := server.Start()
 	require.NoError(s.t, err)
-	s.t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = io.WriteString(conn, answer(request))
-				_ = conn.(*net.TCPConn).SetLinger(0)
-			}()
-		}
-	}()
-	s.list.Put(comfreyvale.NewVM("raw", "g", "dc-1", listener.Addr().String(), false))
+	s.t.Cleanup(server.Stop)
+	s.list.Put(comfreyvale.NewVM("raw", "g", "dc-1", address, false))
+	require.Eventually(s.t, func() bool {
+		s.send(0, "GET", "/", nil)
+		return server.Received() > 0
+	}, 20*time.Second, 10*time.Millisecond)
 }
 
 // TestEarlyResponses guards against a part of a response that a caller takes for the whole: the upstream answers before
@@ -64,17 +47,14 @@
 	}
 	for how, service := range map[string]string{"held": "", "streamed": "heldAnswerLimit: 1B\n"} {
 		s := newSystem(t, 1, 0, "retryShare: 0%\nretryBurst: 0\nejectFailures: 1000\n"+service)
-		var received atomic.Int64
-		s.startRaw(func(request *http.Request) string {
-			received.Add(1)
+		server := &cvrawserver.Server{Reset: true, Respond: func(request *http.Request) string {
 			return responses[strings.ReplaceAll(request.URL.Path[1:], "_", " ")].response
-		})
-		// The balancer doesn't know the upstream at once.
-		require.Eventually(t, func() bool { s.send(0, "GET", "/", nil); return received.Load() > 0 }, 20*time.Second, 10*time.Millisecond)
+		}}
+		s.startRaw(server)
 		for name, c := range responses {
 			for size, body := range map[string]string{"small": "b", "long": strings.Repeat("b", 1<<20)} {
 				t.Run(fmt.Sprintf("%s, %s, %s request", name, how, size), func(t *testing.T) {
-					before := received.Load()
+					before := server.Received()
 					for range repetitions {
 						r := s.sendBody(0, c.method, "/"+strings.ReplaceAll(name, " ", "_"), body)
 						if r.err == nil && (r.status < http.StatusInternalServerError) {
@@ -83,7 +63,7 @@
 						}
 					}
 					// The client itself sends lookups again whose connection broke.
-					require.GreaterOrEqual(t, received.Load()-before, int64(repetitions))
+					require.GreaterOrEqual(t, server.Received()-before, int64(repetitions))
 				})
 			}
 		}
