Refuse responses with malformed header or trailer lines

Callers saw: a server in trouble sent a response in whose head the name of a header held a blank, or a line was folded. The caller got it as a sound response. With a blank behind Content-Length or Transfer-Encoding, its body was not the server's: it ended with the connection, or held the chunks' sizes.

Cause: net/http's parser, which all our readers use, takes a name with a blank for a header without a meaning and joins folded lines. On `serve` a line folded right behind another one was taken whenever it had been received; on `run` the same.

Change: each header and trailer line is checked as it was received: a name of the characters that RFC 9110 allows, a colon, and a value without NUL, CR or LF; no line that continues another (cvfieldlines). cvpool checks the head before it is parsed, and reads the trailers itself. A response that fails ends its connection, counts as uncertain and is not passed on; nor are rejections believed, or interim responses skipped, that have such a line. HTTP/1.0 with a transfer encoding, whose end nobody can tell, is refused by cvtransport too.

Why it works: nothing of a head reaches a parser before its lines were checked, so there are no two readings of them.

Tabs, control bytes, DEL, empty names and NUL or CR in values were refused before and are kept as cases. All pass now; cvheadscanner is tested with every split of the bytes.

golang.org/x/net, which net/http itself uses for the characters of names, was required indirectly and is now required directly.

--- a/io/balancers/cvnode/malformed_test.go
+++ b/io/balancers/cvnode/malformed_test.go
@@ -64,3 +64,19 @@
 	}
 	checkMalformed(t, responses)
 }
+
+// TestMalformedLines guards against a response with a header or trailer that its upstream meant otherwise than the
+// balancer reads it, or that others read otherwise again.
+func TestMalformedLines(t *testing.T) {
+	const start = "HTTP/1.1 200 OK\r\nTest-Id: " + anyID + "\r\n"
+	responses := make(map[string]string)
+	for name, line := range cvmalformed.Lines() {
+		responses[name] = start + line + "\r\nContent-Length: 4\r\n\r\ntext"
+		responses[name+", last"] = start + "Content-Length: 4\r\n" + line + "\r\n\r\ntext"
+		responses[name+", first"] = "HTTP/1.1 200 OK\r\n" + line + "\r\nTest-Id: " + anyID + "\r\nContent-Length: 4\r\n\r\ntext"
+		responses[name+", of an interim"] = "HTTP/1.1 103 Early Hints\r\nA: b\r\n" + line + "\r\n\r\n" + start + "Content-Length: 4\r\n\r\ntext"
+		responses[name+", of a trailer"] = start + "Transfer-Encoding: chunked\r\n\r\n4\r\ntext\r\n0\r\nA: b\r\n" + line + "\r\n\r\n"
+		responses[name+", of a rejection"] = "HTTP/1.1 503 Service Unavailable\r\nTest-Not-Run: 1\r\n" + line + "\r\nContent-Length: 4\r\n\r\ntext"
+	}
+	checkMalformed(t, responses)
+}
--- a/io/operators/cvadminclient/cvadminclient.go
+++ b/io/operators/cvadminclient/cvadminclient.go
@@ -20,6 +20,7 @@
 	"comfreyvale/core/cvfault"
 	"comfreyvale/core/cvstatus"
 	"comfreyvale/core/cvwire"
+	"comfreyvale/io/balancers/cvtransport"
 )
 
 const (
@@ -28,6 +29,9 @@
 	pollInterval = 50 * time.Millisecond
 )
 
+// client is shared, so that its connections are used again.
+var client = cvtransport.NewClient()
+
 // fault is the error type of this package.
 type fault struct{ cvfault.Fault }
 
@@ -118,7 +122,7 @@
 	if err != nil {
 		return fail("ask", comfreyvale.KindInvalid, err)
 	}
-	response, err := http.DefaultClient.Do(request.WithContext(ctx))
+	response, err := client.Do(request.WithContext(ctx))
 	if err != nil {
 		return fail("ask", comfreyvale.KindUnavailable, err)
 	}
--- a/io/peers/cvrelay/cvrelay.go
+++ b/io/peers/cvrelay/cvrelay.go
@@ -21,6 +21,7 @@
 	"comfreyvale"
 	"comfreyvale/core/cvfault"
 	"comfreyvale/core/cvwire"
+	"comfreyvale/io/balancers/cvtransport"
 )
 
 const (
@@ -36,6 +37,9 @@
 	minCompressedBytes = 1400
 )
 
+// client is shared, so that its connections are used again.
+var client = cvtransport.NewClient()
+
 type fault struct{ cvfault.Fault }
 
 func fail(operation string, kind comfreyvale.Kind, cause error) error {
@@ -153,7 +157,7 @@
 	if err != nil {
 		return fail("fetch", comfreyvale.KindInvalid, err)
 	}
-	response, err := http.DefaultClient.Do(request.WithContext(ctx))
+	response, err := client.Do(request.WithContext(ctx))
 	if err != nil {
 		return fail("fetch", comfreyvale.KindUnavailable, err)
 	}
--- a/io/standins/cvmalformed/cvmalformed.go
+++ b/io/standins/cvmalformed/cvmalformed.go
@@ -13,3 +13,40 @@
 	}
 	return lines
 }
+
+// Lines returns lines, without their line ends, that are no header or trailer of a response. Some parsers take a part of
+// them for another header, or for none.
+func Lines() map[string]string {
+	return map[string]string{
+		"a blank in the name":        "Test Name: value",
+		"a blank behind the name":    "Test-Name : value",
+		"a blank behind a length":    "Content-Length : 2",
+		"a blank behind an encoding": "Transfer-Encoding : chunked",
+		"a tab in the name":          "Test\tName: value",
+		"a tab behind the name":      "Test-Name\t: value",
+		"NUL in the name":            "Test\x00Name: value",
+		"a control byte in the name": "Test\x01Name: value",
+		"a bell in the name":         "Test\x07Name: value",
+		"ESC in the name":            "\x1bTest-Name: value",
+		"DEL in the name":            "Test\x7fName: value",
+		"CR in the name":             "Test\rName: value",
+		"a letter beyond ASCII":      "Tést-Name: value",
+		"a slash in the name":        "Test/Name: value",
+		"a name in quotes":           "\"Test-Name\": value",
+		"a colon first":              ": value",
+		"a colon only":               ":",
+		"no colon":                   "Test-Name",
+		"a status line":              "HTTP/1.1 200 OK",
+		"a folded line":              "Test-Name: value\r\n more",
+		"a line folded by a tab":     "Test-Name: value\r\n\tmore",
+		"a folded empty line":        "Test-Name: value\r\n ",
+		"a folded header":            "Test-Name: value\r\n Content-Length: 2",
+		"a blank first":              " Test-Name: value",
+		"NUL in the value":           "Test-Name: val\x00ue",
+		"NUL behind the value":       "Test-Name: value\x00",
+		"CR in the value":            "Test-Name: val\rue",
+		"CR behind the value":        "Test-Name: value\r",
+		"LF in the value":            "Test-Name: val\nue",
+		"CR first in the value":      "Test-Name:\rvalue",
+	}
+}
--- a/io/store/cvhttplog/cvhttplog.go
+++ b/io/store/cvhttplog/cvhttplog.go
@@ -15,11 +15,15 @@
 
 	"comfreyvale"
 	"comfreyvale/core/cvfault"
+	"comfreyvale/io/balancers/cvtransport"
 )
 
 // responseTimeout is how long a response may take beyond the time that a read waits for a record.
 const responseTimeout = 5 * time.Second
 
+// defaultClient is shared, so that its connections are used again.
+var defaultClient = cvtransport.NewClient()
+
 type fault struct{ cvfault.Fault }
 
 func fail(operation string, kind comfreyvale.Kind, cause error) error {
@@ -30,7 +34,7 @@
 type Log struct {
 	// Address is the base URL of the service.
 	Address string
-	// Client sends the requests; nil means http.DefaultClient.
+	// Client sends the requests; nil means one with default settings.
 	Client *http.Client
 }
 
@@ -57,7 +61,7 @@
 func (l *Log) base() *sling.Sling {
 	client := l.Client
 	if client == nil {
-		client = http.DefaultClient
+		client = defaultClient
 	}
 	return sling.New().Client(client).Base(l.Address)
 }
--- a/io/store/cvhttpvmlist/cvhttpvmlist.go
+++ b/io/store/cvhttpvmlist/cvhttpvmlist.go
@@ -11,10 +11,14 @@
 
 	"comfreyvale"
 	"comfreyvale/core/cvfault"
+	"comfreyvale/io/balancers/cvtransport"
 )
 
 const responseTimeout = 5 * time.Second
 
+// client is shared, so that its connections are used again.
+var client = cvtransport.NewClient()
+
 type fault struct{ cvfault.Fault }
 
 func fail(operation string, kind comfreyvale.Kind, cause error) error {
@@ -44,7 +48,7 @@
 		return nil, fail("list", comfreyvale.KindInvalid, err)
 	}
 	var entries []vm
-	response, err := sling.New().Do(request.WithContext(ctx), &entries, nil)
+	response, err := sling.New().Client(client).Do(request.WithContext(ctx), &entries, nil)
 	if err != nil {
 		return nil, fail("list", comfreyvale.KindUnavailable, err)
 	}
--- a/io/upstreams/cvexchanger/cvexchanger.go
+++ b/io/upstreams/cvexchanger/cvexchanger.go
@@ -17,6 +17,7 @@
 	"comfreyvale"
 	"comfreyvale/core/cvfault"
 	"comfreyvale/core/cvhttpstatus"
+	"comfreyvale/io/balancers/cvtransport"
 	"comfreyvale/io/callers/cvheader"
 )
 
@@ -27,8 +28,6 @@
 	// keyHeader is canonicalKeyHeader in lower case. net/http resends a request whose header map has the canonical form.
 	keyHeader          = "idempotency-key"
 	canonicalKeyHeader = "Idempotency-Key"
-	// maxHeaderBytes limits a response header.
-	maxHeaderBytes = 64 << 10
 	// maxInterimResponses limits the interim responses before a response.
 	maxInterimResponses = 4
 )
@@ -45,19 +44,18 @@
 	MaxConnections int
 
 	once      sync.Once
-	transport *http.Transport
+	transport *cvtransport.Transport
 }
 
 func (e *Exchanger) init() {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	e.transport = &http.Transport{
-		DialContext:            dialer.DialContext,
-		MaxConnsPerHost:        e.MaxConnections,
-		MaxIdleConnsPerHost:    e.MaxConnections,
-		IdleConnTimeout:        idleTimeout,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	e.transport = cvtransport.New(&http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxConnsPerHost:     e.MaxConnections,
+		MaxIdleConnsPerHost: e.MaxConnections,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	})
 }
 
 // Exchange sends a request at most once and returns when the response header has arrived. It modifies the request's URL
--- a/io/upstreams/cvpool/connection.go
+++ b/io/upstreams/cvpool/connection.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -25,8 +24,6 @@
 
 const (
 	readBufferSize = 8 << 10
-	// protocolName begins each status line.
-	protocolName = "HTTP/"
 	// maxStaleResponses is how many responses to other requests, and interim responses, are discarded before a connection
 	// counts as broken.
 	maxStaleResponses = 4
@@ -36,21 +33,6 @@
 	maxHeadBytes = 64 << 10
 )
 
-// headLimiter fails reads of a connection beyond a number of bytes while the head of a response is read.
-type headLimiter struct {
-	net.Conn
-	remaining int64
-}
-
-func (l *headLimiter) Read(p []byte) (int, error) {
-	if l.remaining <= 0 {
-		return 0, errors.Errorf("the head of a response is longer than %d bytes", maxHeadBytes)
-	}
-	n, err := l.Conn.Read(p[:min(int64(len(p)), l.remaining)])
-	l.remaining -= int64(n)
-	return n, err
-}
-
 type exchange struct {
 	request *cvrequest.Request
 	// memory holds the response.
@@ -76,7 +58,6 @@
 	pool     *Pool
 	instance string
 	conn     net.Conn
-	limiter  *headLimiter
 	reader   *bufio.Reader
 
 	mu      sync.Mutex
@@ -89,9 +70,8 @@
 }
 
 func newConnection(pool *Pool, instance string, conn net.Conn) *connection {
-	limiter := &headLimiter{Conn: conn}
 	return &connection{
-		pool: pool, instance: instance, conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize),
+		pool: pool, instance: instance, conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize),
 		idleSince: time.Now(), idleTimeout: defaultIdleTimeout,
 	}
 }
@@ -149,7 +129,9 @@
 func (c *connection) readResponses() {
 	defer c.close()
 	for {
-		c.limiter.remaining = maxHeadBytes
+		if c.reader.Size() > readBufferSize && c.reader.Buffered() == 0 {
+			c.reader = bufio.NewReaderSize(c.conn, readBufferSize)
+		}
 		_, err := c.reader.Peek(1)
 		c.mu.Lock()
 		e := c.current
@@ -177,7 +159,6 @@
 		c.finish(e, comfreyvale.Answer{}, fail("exchange", comfreyvale.KindUncertain, errors.Wrap(err, "the response cannot be parsed")))
 		return false
 	}
-	c.limiter.remaining = math.MaxInt64
 	if cvhttpstatus.Status(response.StatusCode).Interim() {
 		e.staleResponses++
 		if e.staleResponses > maxStaleResponses {
@@ -205,33 +186,6 @@
 	return c.deliver(e, answer, closesConnection(response) || c.anonymousRejection(response))
 }
 
-// readHead reads the head of a response. It fails for a response with a status that cannot reach a caller, after which
-// it is not known where the next response begins.
-func (c *connection) readHead(method string) (*http.Response, error) {
-	// http.ReadResponse would wait for the end of a line that is no status line.
-	for n := 1; n <= len(protocolName); n++ {
-		start, err := c.reader.Peek(n)
-		if err != nil {
-			return nil, err
-		}
-		if start[n-1] != protocolName[n-1] {
-			return nil, errors.Errorf("it begins with %q and not with a status line", start)
-		}
-	}
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-	if err != nil {
-		return nil, err
-	}
-	status := cvhttpstatus.Status(response.StatusCode)
-	if !status.Interim() && !status.Final() {
-		return nil, errors.Errorf("its status is %q", response.Status)
-	}
-	if status.Interim() && cvhttpstatus.InterimBody(response.Header, response.TransferEncoding) {
-		return nil, errors.Errorf("its status is %q, which has no body, but a body is announced", response.Status)
-	}
-	return response, nil
-}
-
 // skip discards a response to another request and reports whether the connection is still usable.
 func (c *connection) skip(e *exchange, response *http.Response) bool {
 	e.staleResponses++
@@ -240,7 +194,7 @@
 		c.finish(e, comfreyvale.Answer{}, fail("exchange", comfreyvale.KindUncertain, errors.New("received only responses to other requests")))
 		return false
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, c.pool.MaxResponseBytes+1))
+	n, err := io.Copy(io.Discard, io.LimitReader(c.body(response), c.pool.MaxResponseBytes+1))
 	if n > c.pool.MaxResponseBytes {
 		err = errors.Errorf("the body is longer than %d bytes", c.pool.MaxResponseBytes)
 	}
@@ -256,7 +210,7 @@
 	if response.Body == http.NoBody {
 		return nil, nil
 	}
-	return e.memory.Receive(response.Body, cvmemory.KindAnswer, c.instance, response.ContentLength, c.pool.MaxResponseBytes, c.close)
+	return e.memory.Receive(c.body(response), cvmemory.KindAnswer, c.instance, response.ContentLength, c.pool.MaxResponseBytes, c.close)
 }
 
 // checkEnd returns an error if a body that ends with its connection may be incomplete: the connection was reset, or the
