Refuse responses of HTTP/1.0 that name a transfer encoding

Callers saw, with `serve`: a response of HTTP/1.0 in chunks arrived with the chunks' sizes in its body, or cut by its length where it had both.

Cause: net/http's parser drops Transfer-Encoding in HTTP/1.0 and goes by the length, or by the end of the connection. RFC 9112 calls the framing of such a message faulty.

Change: cvpool refuses such a head before it is parsed, and closes the connection.

Evidence: TestMalformedFraming failed in these two of 16 cases, one with 200 and a wrong body, one with 504 at the deadline; both get 502 at once now. The others (lengths that differ or are no numbers, other encodings, chunks with a wrong size) held on both paths and are kept.

--- a/core/cvfieldlines/cvfieldlines.go
+++ b/core/cvfieldlines/cvfieldlines.go
@@ -47,6 +47,16 @@
 	return nil
 }
 
+// Contain reports whether one of the lines of a block has a name.
+func Contain(block []byte, name string) bool {
+	for line := range bytes.Lines(block) {
+		if n, _, ok := bytes.Cut(line, []byte(":")); ok && bytes.EqualFold(n, []byte(name)) {
+			return true
+		}
+	}
+	return false
+}
+
 // TrimEnd returns a line without its line end, which is LF or CRLF.
 func TrimEnd(line []byte) []byte {
 	line = bytes.TrimSuffix(line, []byte("\n"))
--- a/io/balancers/cvbalancer/malformed_test.go
+++ b/io/balancers/cvbalancer/malformed_test.go
@@ -67,3 +67,6 @@
 	}
 	checkMalformed(t, responses)
 }
+
+// TestMalformedFraming guards against a body that ends elsewhere than its upstream meant.
+func TestMalformedFraming(t *testing.T) { checkMalformed(t, cvmalformed.Framings("A: b\r\n")) }
--- a/io/balancers/cvnode/malformed_test.go
+++ b/io/balancers/cvnode/malformed_test.go
@@ -80,3 +80,8 @@
 	}
 	checkMalformed(t, responses)
 }
+
+// TestMalformedFraming guards against a body that ends elsewhere than its upstream meant.
+func TestMalformedFraming(t *testing.T) {
+	checkMalformed(t, cvmalformed.Framings("Test-Id: "+anyID+"\r\n"))
+}
--- a/io/standins/cvmalformed/cvmalformed.go
+++ b/io/standins/cvmalformed/cvmalformed.go
@@ -14,6 +14,31 @@
 	return lines
 }
 
+// Framings returns responses, but for their request's ID, whose end nobody can tell. Each has the header behind its status
+// line.
+func Framings(header string) map[string]string {
+	const chunks = "4\r\ntext\r\n0\r\n\r\n"
+	line := "HTTP/1.1 200 OK\r\n" + header
+	return map[string]string{
+		"chunks of HTTP/1.0":           "HTTP/1.0 200 OK\r\n" + header + "Transfer-Encoding: chunked\r\n\r\n" + chunks,
+		"chunks of HTTP/1.0, a length": "HTTP/1.0 200 OK\r\n" + header + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n" + chunks,
+		"an unknown encoding":          line + "Transfer-Encoding: gzip\r\n\r\n" + chunks,
+		"two encodings":                line + "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\n" + chunks,
+		"chunks, then encoded":         line + "Transfer-Encoding: chunked, gzip\r\n\r\n" + chunks,
+		"two lengths":                  line + "Content-Length: 4\r\nContent-Length: 5\r\n\r\ntexts",
+		"two lengths in one line":      line + "Content-Length: 4, 5\r\n\r\ntexts",
+		"a negative length":            line + "Content-Length: -4\r\n\r\ntext",
+		"a length with a sign":         line + "Content-Length: +4\r\n\r\ntext",
+		"a length with a letter":       line + "Content-Length: 4a\r\n\r\ntext",
+		"an empty length":              line + "Content-Length: \r\n\r\ntext",
+		"a length of two words":        line + "Content-Length: 4 4\r\n\r\ntext",
+		"a length beyond all":          line + "Content-Length: 99999999999999999999\r\n\r\ntext",
+		"a chunk without a size":       line + "Transfer-Encoding: chunked\r\n\r\n\r\ntext\r\n0\r\n\r\n",
+		"a chunk of a negative size":   line + "Transfer-Encoding: chunked\r\n\r\n-4\r\ntext\r\n0\r\n\r\n",
+		"a chunk beyond its size":      line + "Transfer-Encoding: chunked\r\n\r\n2\r\ntext\r\n0\r\n\r\n",
+	}
+}
+
 // Lines returns lines, without their line ends, that are no header or trailer of a response. Some parsers take a part of
 // them for another header, or for none.
 func Lines() map[string]string {
--- a/io/upstreams/cvpool/head.go
+++ b/io/upstreams/cvpool/head.go
@@ -33,10 +33,14 @@
 	if err != nil {
 		return nil, err
 	}
-	// The first line is the status line.
-	if err := cvfieldlines.CheckAll(head[bytes.IndexByte(head, '\n')+1:]); err != nil {
+	statusLine, lines, _ := bytes.Cut(head, []byte("\n"))
+	if err := cvfieldlines.CheckAll(lines); err != nil {
 		return nil, err
 	}
+	if bytes.HasPrefix(statusLine, []byte("HTTP/1.0")) && cvfieldlines.Contain(lines, "Transfer-Encoding") {
+		// http.ReadResponse ignores the header there.
+		return nil, errors.New("a response of HTTP/1.0 names a transfer encoding")
+	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil {
 		return nil, err
