Bound what every reader keeps of a response without end

Operators of similar systems saw: a faulty server sent bytes without end, and the machine that had called it ran out of memory. Here, on `run`, the clients of the platform's log and of the VM list, the operator's client and the probes of the probing policy kept all that arrived in their time, which is five seconds for the log: gigabytes on a fast link. sling also read what they had left over. A link between balancers took the memory that a peer announced for a message, up to 128 MiB each, before it had arrived, also from one that had not said its name.

Cause: bodies were decoded from the connection, or cut by a LimitReader without asking whether there was more.

Change: cvboundedbody reads a body up to a limit and fails beyond it; all readers use it. A read of the log decodes record by record and leaves what is behind 4 MiB to the next read, as its callers go on until they reach the end of the stream. A probe ends after a second. Messages of peers take memory as they arrive, names at most 4 KiB. What is beyond a bound ends that connection alone.

Held before, and kept: cvpool, cvexchanger and the platform's directory.

--- a/io/operators/cvadminclient/cvadminclient.go
+++ b/io/operators/cvadminclient/cvadminclient.go
@@ -10,8 +10,6 @@
 	"strings"
 	"time"
 
-	"encoding/json"
-
 	"github.com/dghubble/sling"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -20,17 +18,23 @@
 	"comfreyvale/core/cvfault"
 	"comfreyvale/core/cvstatus"
 	"comfreyvale/core/cvwire"
+	"comfreyvale/io/balancers/cvboundedbody"
 	"comfreyvale/io/balancers/cvtransport"
 )
 
 const (
 	requestTimeout = 2 * time.Second
+	// maxResponseBytes limits a response. A checkpoint holds all services of a deployment.
+	maxResponseBytes = 32 << 20
 	// pollInterval is the time between two status requests to a balancer.
 	pollInterval = 50 * time.Millisecond
 )
 
-// client is shared, so that its connections are used again.
-var client = cvtransport.NewClient()
+var (
+	// client is shared, so that its connections are used again.
+	client  = cvtransport.NewClient()
+	decoder = cvboundedbody.Decoder{Limit: maxResponseBytes}
+)
 
 // fault is the error type of this package.
 type fault struct{ cvfault.Fault }
@@ -73,7 +77,7 @@
 // Status returns the status of the balancer at an address.
 func (c *Client) Status(ctx context.Context, address string) (cvstatus.Status, error) {
 	var s cvstatus.Status
-	err := c.get(ctx, address, "/status", func(r *http.Response) error { return json.NewDecoder(r.Body).Decode(&s) })
+	err := c.get(ctx, address, "/status", func(r *http.Response) error { return decoder.Decode(r, &s) })
 	return s, err
 }
 
@@ -81,7 +85,7 @@
 func (c *Client) Explain(ctx context.Context, address, subject string) ([]map[string]any, error) {
 	var found []map[string]any
 	path := "/explain?subject=" + url.QueryEscape(subject)
-	err := c.get(ctx, address, path, func(r *http.Response) error { return json.NewDecoder(r.Body).Decode(&found) })
+	err := c.get(ctx, address, path, func(r *http.Response) error { return decoder.Decode(r, &found) })
 	return found, err
 }
 
@@ -107,7 +111,7 @@
 }
 
 func readProto(body io.Reader, message proto.Message) error {
-	content, err := io.ReadAll(body)
+	content, err := cvboundedbody.Read(body, maxResponseBytes)
 	if err != nil {
 		return err
 	}
--- a/io/peers/cvpeers/cvpeers.go
+++ b/io/peers/cvpeers/cvpeers.go
@@ -260,7 +260,7 @@
 	defer stream.Close()
 	ctx, cancel := context.WithCancel(p.runCtx)
 	defer cancel()
-	reader := newReader(stream)
+	reader := newReader(stream, maxMessageBytes)
 	for {
 		request := &cvwire.PeerRequest{}
 		if reader.read(request) != nil {
--- a/io/peers/cvpeers/link.go
+++ b/io/peers/cvpeers/link.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/binary"
 	"io"
 	"net"
 	"sync"
@@ -18,8 +20,9 @@
 )
 
 const (
-	// maxMessageBytes limits received messages.
+	// maxMessageBytes limits received messages, and maxHelloBytes those with the name of a process.
 	maxMessageBytes = 128 << 20
+	maxHelloBytes   = 4 << 10
 	readBufferBytes = 4 << 10
 )
 
@@ -32,16 +35,30 @@
 	oneWay *yamux.Stream
 }
 
+// reader reads messages up to a size.
 type reader struct {
 	buffered *bufio.Reader
+	maxBytes uint64
 }
 
-func newReader(stream io.Reader) *reader {
-	return &reader{buffered: bufio.NewReaderSize(stream, readBufferBytes)}
+func newReader(stream io.Reader, maxBytes uint64) *reader {
+	return &reader{buffered: bufio.NewReaderSize(stream, readBufferBytes), maxBytes: maxBytes}
 }
 
+// read takes memory only for bytes that have arrived: protodelim takes it for the announced size.
 func (r *reader) read(message proto.Message) error {
-	return protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}.UnmarshalFrom(r.buffered, message)
+	size, err := binary.ReadUvarint(r.buffered)
+	if err != nil {
+		return err
+	}
+	if size > r.maxBytes {
+		return errors.Errorf("a message of %d bytes is longer than %d", size, r.maxBytes)
+	}
+	var content bytes.Buffer
+	if _, err := io.CopyN(&content, r.buffered, int64(size)); err != nil {
+		return err
+	}
+	return proto.Unmarshal(content.Bytes(), message)
 }
 
 func write(stream io.Writer, message proto.Message) error {
@@ -61,7 +78,7 @@
 		return nil, err
 	}
 	reply := &cvwire.PeerReply{}
-	return reply, newReader(stream).read(reply)
+	return reply, newReader(stream, maxMessageBytes).read(reply)
 }
 
 func (l *link) send(request *cvwire.PeerRequest) error {
@@ -91,7 +108,7 @@
 		return "", err
 	}
 	reply := &cvwire.PeerReply{}
-	if err := newReader(stream).read(reply); err != nil {
+	if err := newReader(stream, maxHelloBytes).read(reply); err != nil {
 		return "", err
 	}
 	return reply.GetHello().GetProcess(), nil
@@ -106,7 +123,7 @@
 	defer stream.Close()
 	stream.SetDeadline(time.Now().Add(writeTimeout))
 	request := &cvwire.PeerRequest{}
-	if err := newReader(stream).read(request); err != nil {
+	if err := newReader(stream, maxHelloBytes).read(request); err != nil {
 		return "", err
 	}
 	if request.GetHello().GetProcess() == "" {
--- a/io/peers/cvrelay/cvrelay.go
+++ b/io/peers/cvrelay/cvrelay.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"compress/gzip"
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -21,6 +20,7 @@
 	"comfreyvale"
 	"comfreyvale/core/cvfault"
 	"comfreyvale/core/cvwire"
+	"comfreyvale/io/balancers/cvboundedbody"
 	"comfreyvale/io/balancers/cvtransport"
 )
 
@@ -162,7 +162,7 @@
 		return fail("fetch", comfreyvale.KindUnavailable, err)
 	}
 	defer response.Body.Close()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	content, err := cvboundedbody.Read(response.Body, maxResponseBytes)
 	if err != nil {
 		return fail("fetch", comfreyvale.KindUnavailable, err)
 	}
--- a/io/standins/cvmalformed/cvmalformed.go
+++ b/io/standins/cvmalformed/cvmalformed.go
@@ -1,6 +1,8 @@
 // Package cvmalformed lists parts of responses that no caller may get.
 package cvmalformed
 
+import "strings"
+
 // StatusLines returns status lines whose status is not three digits from 100 to 599, or that announces a change of
 // protocols that nobody asked for.
 func StatusLines() map[string]string {
@@ -39,6 +41,37 @@
 	}
 }
 
+// Endless is a response without end: a start and a part that is sent again and again behind it.
+type Endless struct{ Start, Part string }
+
+// EndlessResponses returns responses without end, by the place at which they go on. The header, which ends with a line
+// end unless it is empty, is part of each head.
+func EndlessResponses(header string) map[string]Endless {
+	head := "HTTP/1.1 200 OK\r\n" + header
+	const hints = "HTTP/1.1 103 Early Hints\r\n"
+	return map[string]Endless{
+		"a status line":         {"HTTP/1.1 200 ", "a"},
+		"a header name":         {head, "a"},
+		"a header value":        {head + "A: ", "a"},
+		"headers":               {head, "A: b\r\n"},
+		"folded headers":        {head + "A: b\r\n", " c\r\n"},
+		"interim responses":     {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"an interim header":     {hints + "A: ", "a"},
+		"interim headers":       {hints, "A: b\r\n"},
+		"a body without length": {head + "\r\n", "a"},
+		"a chunk":               {head + "Transfer-Encoding: chunked\r\n\r\nfffffffffff\r\n", "a"},
+		"chunks":                {head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"},
+		"a chunk size":          {head + "Transfer-Encoding: chunked\r\n\r\n", "0"},
+		"a chunk extension":     {head + "Transfer-Encoding: chunked\r\n\r\n1;", "a"},
+		"chunk extensions":      {head + "Transfer-Encoding: chunked\r\n\r\n", "1;" + strings.Repeat("a", 100) + "\r\na\r\n"},
+		"a trailer":             {head + "Transfer-Encoding: chunked\r\n\r\n0\r\nA: ", "a"},
+		"trailers":              {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+		"a body of any length":  {head + "Content-Length: 9000000000000\r\n\r\n", "a"},
+		"bytes of no protocol":  {"", "\x00"},
+		"line ends":             {"", "\r\n"},
+	}
+}
+
 // Lines returns lines, without their line ends, that are no header or trailer of a response. Some parsers take a part of
 // them for another header, or for none.
 func Lines() map[string]string {
--- a/io/standins/cvrawserver/cvrawserver.go
+++ b/io/standins/cvrawserver/cvrawserver.go
@@ -6,15 +6,23 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 )
 
+// MaxEndlessBytes limits what one connection gets of a response without end, so that a client that reads all of it does
+// not take the memory of the machine.
+const MaxEndlessBytes = 256 << 20
+
+// blockBytes is the size of the writes of a response without end.
+const blockBytes = 64 << 10
+
 // Server is a server on a loopback port. Set the exported fields before Start.
 type Server struct {
 	// Respond returns the response to a request, whose body is read after the response if Reset is not set.
 	Respond func(request *http.Request) string
-	// Repeated is sent again and again after each response, until the connection breaks.
-	Repeated string
+	// Endless returns what is sent again and again after a response, until the connection breaks. It may be nil.
+	Endless func(request *http.Request) string
 	// Reset resets each connection after its first response.
 	Reset bool
 
@@ -69,10 +77,8 @@
 		if !s.write(conn, s.Respond(request)) {
 			return
 		}
-		for s.Repeated != "" {
-			if !s.write(conn, s.Repeated) {
-				return
-			}
+		if s.Endless != nil && !s.writeEndlessly(conn, s.Endless(request)) {
+			return
 		}
 		if s.Reset {
 			_ = conn.(*net.TCPConn).SetLinger(0)
@@ -84,6 +90,20 @@
 	}
 }
 
+// writeEndlessly sends a part, if it is not empty, again and again, and reports whether the connection can still be used.
+func (s *Server) writeEndlessly(conn net.Conn, part string) bool {
+	if part == "" {
+		return true
+	}
+	block := strings.Repeat(part, 1+blockBytes/len(part))
+	for sent := 0; sent < MaxEndlessBytes; sent += len(block) {
+		if !s.write(conn, block) {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *Server) write(conn net.Conn, text string) bool {
 	n, err := io.WriteString(conn, text)
 	s.sent.Add(int64(n))
--- a/io/store/cvhttplog/cvhttplog.go
+++ b/io/store/cvhttplog/cvhttplog.go
@@ -4,7 +4,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"net/url"
@@ -15,11 +14,16 @@
 
 	"comfreyvale"
 	"comfreyvale/core/cvfault"
+	"comfreyvale/io/balancers/cvboundedbody"
 	"comfreyvale/io/balancers/cvtransport"
 )
 
-// responseTimeout is how long a response may take beyond the time that a read waits for a record.
-const responseTimeout = 5 * time.Second
+const (
+	// responseTimeout is how long a response may take beyond the time that a read waits for a record.
+	responseTimeout = 5 * time.Second
+	// maxAppendBytes limits the response to an append, which holds an offset.
+	maxAppendBytes = 4 << 10
+)
 
 // defaultClient is shared, so that its connections are used again.
 var defaultClient = cvtransport.NewClient()
@@ -42,46 +46,31 @@
 	Offset int64 `json:"offset"`
 }
 
-type readResponse struct {
-	First   int64        `json:"first"`
-	Next    int64        `json:"next"`
-	Records []readRecord `json:"records"`
-}
-
-type readRecord struct {
-	Offset int64  `json:"offset"`
-	Body   []byte `json:"body"`
-}
-
 type readQuery struct {
 	From   int64 `url:"from"`
 	WaitMs int64 `url:"waitMs"`
 }
 
-func (l *Log) base() *sling.Sling {
-	client := l.Client
-	if client == nil {
-		client = defaultClient
-	}
-	return sling.New().Client(client).Base(l.Address)
-}
-
 // Append appends a record to a stream and returns its offset. KindUncertain means that the record may have been
 // appended.
 func (l *Log) Append(ctx context.Context, stream string, body []byte) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, responseTimeout)
 	defer cancel()
-	request, err := l.base().Post("/streams/" + url.PathEscape(stream) + "/records").Body(bytes.NewReader(body)).Request()
+	request, err := sling.New().Base(l.Address).Post("/streams/" + url.PathEscape(stream) + "/records").Body(bytes.NewReader(body)).Request()
 	if err != nil {
 		return 0, fail("append", comfreyvale.KindInvalid, err)
 	}
-	var result appendResponse
-	response, err := l.do(ctx, request, &result)
+	response, err := l.client().Do(request.WithContext(ctx))
 	if err != nil {
 		return 0, fail("append", appendKind(err), err)
 	}
+	defer response.Body.Close()
 	switch {
 	case response.StatusCode == http.StatusOK:
+		var result appendResponse
+		if err := (cvboundedbody.Decoder{Limit: maxAppendBytes}).Decode(response, &result); err != nil {
+			return 0, fail("append", comfreyvale.KindUncertain, err)
+		}
 		return result.Offset, nil
 	case response.StatusCode == http.StatusServiceUnavailable:
 		return 0, fail("append", comfreyvale.KindUnavailable, errors.New(response.Status))
@@ -104,35 +93,30 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+responseTimeout)
 	defer cancel()
 	query := readQuery{From: from, WaitMs: wait.Milliseconds()}
-	request, err := l.base().Get("/streams/" + url.PathEscape(stream) + "/records").QueryStruct(&query).Request()
+	request, err := sling.New().Base(l.Address).Get("/streams/" + url.PathEscape(stream) + "/records").QueryStruct(&query).Request()
 	if err != nil {
 		return comfreyvale.Batch{}, fail("read", comfreyvale.KindInvalid, err)
 	}
-	var result readResponse
-	response, err := l.do(ctx, request, &result)
+	response, err := l.client().Do(request.WithContext(ctx))
 	if err != nil {
 		return comfreyvale.Batch{}, fail("read", comfreyvale.KindUnavailable, err)
 	}
+	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
 		return comfreyvale.Batch{}, fail("read", comfreyvale.KindUnavailable, errors.New(response.Status))
 	}
-	var records []comfreyvale.Record
-	for _, r := range result.Records {
-		records = append(records, comfreyvale.NewRecord(r.Offset, r.Body))
+	batch, err := decodeBatch(response.Body)
+	if err != nil {
+		return comfreyvale.Batch{}, fail("read", comfreyvale.KindUnavailable, err)
 	}
-	return comfreyvale.NewBatch(result.First, result.Next, records), nil
+	return batch, nil
 }
 
-// do decodes the response body into result if the status is a success.
-func (l *Log) do(ctx context.Context, request *http.Request, result any) (*http.Response, error) {
-	return l.base().ResponseDecoder(decoder{}).Do(request.WithContext(ctx), result, nil)
-}
-
-// decoder decodes JSON bodies. It reads the complete JSON value, so that the connection can be reused.
-type decoder struct{}
-
-func (decoder) Decode(response *http.Response, result any) error {
-	return json.NewDecoder(response.Body).Decode(result)
+func (l *Log) client() *http.Client {
+	if l.Client != nil {
+		return l.Client
+	}
+	return defaultClient
 }
 
 // String returns the name of the implementation.
--- a/io/store/cvhttpvmlist/cvhttpvmlist.go
+++ b/io/store/cvhttpvmlist/cvhttpvmlist.go
@@ -11,10 +11,15 @@
 
 	"comfreyvale"
 	"comfreyvale/core/cvfault"
+	"comfreyvale/io/balancers/cvboundedbody"
 	"comfreyvale/io/balancers/cvtransport"
 )
 
-const responseTimeout = 5 * time.Second
+const (
+	responseTimeout = 5 * time.Second
+	// maxResponseBytes limits a response. An entry of a VM takes some hundred bytes.
+	maxResponseBytes = 16 << 20
+)
 
 // client is shared, so that its connections are used again.
 var client = cvtransport.NewClient()
@@ -47,14 +52,18 @@
 	if err != nil {
 		return nil, fail("list", comfreyvale.KindInvalid, err)
 	}
-	var entries []vm
-	response, err := sling.New().Client(client).Do(request.WithContext(ctx), &entries, nil)
+	response, err := client.Do(request.WithContext(ctx))
 	if err != nil {
 		return nil, fail("list", comfreyvale.KindUnavailable, err)
 	}
+	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
 		return nil, fail("list", comfreyvale.KindUnavailable, errors.New(response.Status))
 	}
+	var entries []vm
+	if err := (cvboundedbody.Decoder{Limit: maxResponseBytes}).Decode(response, &entries); err != nil {
+		return nil, fail("list", comfreyvale.KindUnavailable, err)
+	}
 	vms := make([]comfreyvale.VM, 0, len(entries))
 	for _, v := range entries {
 		vms = append(vms, comfreyvale.NewVM(v.Name, v.Group, v.DataCentre, v.Address, v.Leaving))
--- a/io/upstreams/cvdispatcher/cvdispatcher.go
+++ b/io/upstreams/cvdispatcher/cvdispatcher.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -21,11 +20,18 @@
 	"comfreyvale/core/cvretrybudget"
 	"comfreyvale/core/cvservice"
 	"comfreyvale/core/cvticket"
+	"comfreyvale/io/balancers/cvboundedbody"
 	"comfreyvale/io/upstreams/cvexchanger"
 )
 
-// maxHedgeUtilization is the utilization of the upstreams above which no call is hedged.
-const maxHedgeUtilization = 0.8
+const (
+	// maxHedgeUtilization is the utilization of the upstreams above which no call is hedged.
+	maxHedgeUtilization = 0.8
+	// probeTimeout bounds the time of a probe, whose report is useless later.
+	probeTimeout = time.Second
+	// maxLoadBytes limits the response to a probe, which holds two numbers.
+	maxLoadBytes = 4 << 10
+)
 
 type fault struct{ cvfault.Fault }
 
@@ -184,6 +190,8 @@
 }
 
 func (d *Dispatcher) probe(ctx context.Context, vm comfreyvale.VM) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://upstream/load", nil)
 	if err != nil {
 		return
@@ -197,7 +205,7 @@
 		InFlight  int   `json:"inFlight"`
 		LatencyUs int64 `json:"latencyUs"`
 	}
-	if json.NewDecoder(response.Body).Decode(&load) != nil {
+	if err := (cvboundedbody.Decoder{Limit: maxLoadBytes}).Decode(response, &load); err != nil {
 		return
 	}
 	d.mu.Lock()
