Planned stops: refuse what may not end in time, answer what has not

Operators of similar systems saw: in a planned stop of one machine, in calm, requests that came late in the grace were taken and passed on, and cut with no answer at its end, orders among them. It happens here, on `serve` and `run`: a request was sent whenever it arrived or got a slot, and the process ended with whatever was in progress.

Change: in the first half of the time until the end, requests are sent as before. In the second, one that arrives or waits for an upstream is refused at once if its deadline is after the end: 503 with Retry-After and the cause `shutdown`, and nothing was sent. At the end, what is still in progress gets 502, which promises nothing, and what has not arrived whole 408 (`serve`). cvshutdown decides by the time alone; cvstopping tells the requests in progress; both processes use them.

Why it works: a request is either refused before it is sent, or has half of the time, or a deadline before the end; and each context ends early enough for its answer to be written.

--- a/core/cvrefusal/cvrefusal.go
+++ b/core/cvrefusal/cvrefusal.go
@@ -74,6 +74,11 @@
 		return http.StatusGatewayTimeout
 	case comfreyvale.CauseCallerGone:
 		return statusClientClosedRequest
+	case comfreyvale.CauseShutdown:
+		if r.ran != comfreyvale.RanNo {
+			return http.StatusBadGateway
+		}
+		return http.StatusServiceUnavailable
 	case comfreyvale.CauseUpstreamBroke, comfreyvale.CauseAnswerUnframed, comfreyvale.CauseClaimHolderGone:
 		return http.StatusBadGateway
 	}
--- a/io/balancers/cvbalancer/cvbalancer.go
+++ b/io/balancers/cvbalancer/cvbalancer.go
@@ -24,9 +24,11 @@
 	"comfreyvale/core/cvrandom"
 	"comfreyvale/core/cvroundrobin"
 	"comfreyvale/core/cvservice"
+	"comfreyvale/core/cvshutdown"
 	"comfreyvale/io/balancers/cvbodies"
 	"comfreyvale/io/balancers/cvlisteners"
 	"comfreyvale/io/balancers/cvpause"
+	"comfreyvale/io/balancers/cvstopping"
 	"comfreyvale/io/callers/cvgateway"
 	"comfreyvale/io/operators/cvadmin"
 	"comfreyvale/io/operators/cvmetrics"
@@ -52,6 +54,8 @@
 	tickInterval = 20 * time.Millisecond
 	// expireInterval is the interval between removals of expired claims and quarantine entries.
 	expireInterval = time.Second
+	// answerMargin is the end of the stop limit in which requests that have not ended get their answers.
+	answerMargin = 200 * time.Millisecond
 	// probeInterval is the interval between rounds of probes of the probing policy.
 	probeInterval = 2 * time.Millisecond
 	// maxDecisions is the maximum number of decisions stored for explain requests.
@@ -85,6 +89,7 @@
 	// vmListRead is set once the upstreams of a VM list are in force.
 	vmListRead atomic.Bool
 	stopping   atomic.Bool
+	shutdown   cvstopping.Stopping
 	// vmListState is the last logged state of the VM list.
 	vmListState string
 
@@ -151,13 +156,14 @@
 	runner := &cvrunner.Runner{
 		Recorder: b.recorder, Tracer: b.Tracer, ResponseMemory: semaphore.NewWeighted(b.Settings.AnswerMemory()),
 		OnDraining: b.upstreamDraining, OnConnectionLost: b.upstreamCrashed, Quarantined: b.retryBlocked, Suspected: b.isSuspect, AssignUpstream: b.assignUpstream,
+		Shutdown: &b.shutdown,
 	}
 	requests := &cvbodies.Memory{OnDropped: b.requestDropped}
 	requests.SetLimit(b.Settings.RequestMemory())
 	b.gateway = &cvgateway.Gateway{
 		Requests:    requests,
 		FindService: b.table.Find, Quarantined: b.quarantined, OnUpstreamSuccess: b.requestCompleted, NewKeys: b.homes.NewKeys,
-		Runner: runner, Claims: b.claims, Recorder: b.recorder, Metrics: b.metrics, Tracer: b.Tracer,
+		Runner: runner, Shutdown: &b.shutdown, Claims: b.claims, Recorder: b.recorder, Metrics: b.metrics, Tracer: b.Tracer,
 	}
 	return nil
 }
@@ -270,9 +276,11 @@
 }
 
 // stop reports not ready, leaves the roster, and accepts new requests during the stop lag. It then waits for the
-// requests in flight until the stop limit, closes the connections of the remaining ones, and hands stored responses
-// over to other balancers.
+// requests in flight until the stop limit, answers the remaining ones shortly before it, closes the connections of those
+// that are left, and hands stored responses over to other balancers.
 func (b *Balancer) stop(server *http.Server) {
+	startedAt := time.Now()
+	b.shutdown.Begin(startedAt, cvshutdown.New(startedAt, startedAt.Add(b.Settings.StopLag()+b.Settings.StopLimit()-answerMargin)))
 	b.stopping.Store(true)
 	b.gateway.DisableKeepAlives()
 	b.Logger.WithField("inFlight", b.gateway.InFlight()).Info("stopping")
--- a/io/balancers/cvbalancer/harness_test.go
+++ b/io/balancers/cvbalancer/harness_test.go
@@ -81,8 +81,12 @@
 	for j := range addresses {
 		addresses[j] = freeAddress(s.t)
 	}
-	content := fmt.Sprintf("vm: entry-%d\ndataCentre: dc-1\nlisten: %s\nadmin: %s\npeer: %s\nlog: {address: \"http://l\"}\nvmList: {address: \"http://l\", poll: 100ms}\nstop: {lag: 0s, limit: 10s}\n%s",
-		i+1, addresses[0], addresses[1], addresses[2], s.settings)
+	stop := "stop: {lag: 0s, limit: 10s}"
+	if strings.Contains(s.settings, "stop:") {
+		stop = ""
+	}
+	content := fmt.Sprintf("vm: entry-%d\ndataCentre: dc-1\nlisten: %s\nadmin: %s\npeer: %s\nlog: {address: \"http://l\"}\nvmList: {address: \"http://l\", poll: 100ms}\n%s\n%s",
+		i+1, addresses[0], addresses[1], addresses[2], stop, s.settings)
 	settings, err := cvsettings.Parse("settings", []byte(content))
 	require.NoError(s.t, err)
 	logger := &cvlogger.Options{Out: io.Discard}
--- a/io/balancers/cvnode/attempts.go
+++ b/io/balancers/cvnode/attempts.go
@@ -16,6 +16,7 @@
 	"comfreyvale/core/cvrequest"
 	"comfreyvale/core/cvrequirements"
 	"comfreyvale/core/cvwaiter"
+	"comfreyvale/io/balancers/cvstopping"
 	"comfreyvale/io/callers/cvhttpserver"
 )
 
@@ -45,7 +46,7 @@
 	refused                   // the upstream stated that it did not run the request
 	unsent                    // no byte of the request was sent
 	broken                    // the connection broke and the request may have run
-	expired                   // the deadline passed
+	expired                   // the deadline passed, or the process shuts down
 	callerLeft                // the caller closed its connection
 	overtaken                 // a concurrent attempt of the same request was answered first
 )
@@ -85,7 +86,7 @@
 	switch {
 	case errors.Is(cause, cvhttpserver.ErrCallerDisconnected):
 		return callerLeft
-	case errors.Is(cause, context.DeadlineExceeded):
+	case errors.Is(cause, context.DeadlineExceeded), errors.Is(cause, cvstopping.ErrEnd):
 		return expired
 	}
 	return overtaken
@@ -115,6 +116,8 @@
 func (e *exchange) run(ctx context.Context) comfreyvale.Answer {
 	ctx, cancel := context.WithDeadline(ctx, e.deadline.Add(-responseMargin))
 	defer cancel()
+	ctx, detach := e.node.shutdown.RequestContext(ctx)
+	defer detach()
 	if ctx.Err() != nil {
 		return e.finishCancelled(ctx)
 	}
@@ -181,7 +184,7 @@
 
 func (e *exchange) send(ctx context.Context, ended chan<- *attempt) error {
 	for {
-		waiter, err := e.slots.Acquire(ctx, e.requirements())
+		waiter, err := e.awaitSlot(ctx)
 		if err != nil {
 			return err
 		}
@@ -202,6 +205,13 @@
 	}
 }
 
+// awaitSlot waits for a slot as long as the request may still be sent.
+func (e *exchange) awaitSlot(ctx context.Context) (*cvwaiter.Waiter, error) {
+	ctx, cancel := e.node.shutdown.WaitContext(ctx, e.deadline)
+	defer cancel()
+	return e.slots.Acquire(ctx, e.requirements())
+}
+
 func (e *exchange) startAttempt(ctx context.Context, waiter *cvwaiter.Waiter, ended chan<- *attempt) {
 	e.tried = append(e.tried, waiter.Instance().ID())
 	e.watchAttempt(time.Now(), waiter)
--- a/io/balancers/cvnode/cvnode.go
+++ b/io/balancers/cvnode/cvnode.go
@@ -28,6 +28,7 @@
 	"comfreyvale/core/cvusage"
 	"comfreyvale/io/balancers/cvbodies"
 	"comfreyvale/io/balancers/cvlisteners"
+	"comfreyvale/io/balancers/cvstopping"
 	"comfreyvale/io/callers/cvhttpserver"
 	"comfreyvale/io/operators/cvnodemetrics"
 	"comfreyvale/io/operators/cvnodesettings"
@@ -83,6 +84,7 @@
 	// routes is the configuration in force, nil before the first.
 	routes   atomic.Pointer[cvroutes.Table]
 	stopping atomic.Bool
+	shutdown cvstopping.Stopping
 
 	// The parts of the process, set by build.
 	server                      *cvhttpserver.Server
--- a/io/balancers/cvnode/harness_test.go
+++ b/io/balancers/cvnode/harness_test.go
@@ -190,6 +190,8 @@
 	memoryMB int
 	// terms and moreSettings are added to the terms and to the settings of new balancers.
 	terms, moreSettings string
+	// stopGrace and stopNotice are the times of a planned stop, or 0 for the defaults.
+	stopGrace, stopNotice time.Duration
 	// bootClock is the boot clock of new balancers, or nil for that of the machine.
 	bootClock func() time.Duration
 }
@@ -303,7 +305,8 @@
 // settings returns the settings file of a balancer. The seed is the peer address of the first one.
 func (d *deployment) settings(index int, r *runningNode, peer, news, seed string) string {
 	text := fmt.Sprintf("vm: v%d\ndataCentre: dc\nlisten: %q\nready: %q\npeer: %q\nnews: %q\nseeds: [%q]\ndirectory: \"127.0.0.1:1\"\n"+
-		"terms:\n  stop: 6s\n  notice: 100ms\n  retryRatio: 0.2\n  retrySlack: 240\n", index, r.address, r.readyAddress, peer, news, seed)
+		"terms:\n  stop: %s\n  notice: %s\n  retryRatio: 0.2\n  retrySlack: 240\n", index, r.address, r.readyAddress, peer, news, seed,
+		cmp.Or(d.stopGrace, 6*time.Second), cmp.Or(d.stopNotice, 100*time.Millisecond))
 	text += d.terms + d.moreSettings
 	if d.memoryMB > 0 {
 		text += fmt.Sprintf("memory: %d\n", d.memoryMB)
--- a/io/balancers/cvnode/identity.go
+++ b/io/balancers/cvnode/identity.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/apex/log"
 	"go.opentelemetry.io/otel/attribute"
@@ -12,6 +13,7 @@
 	"comfreyvale/core/cvroute"
 	"comfreyvale/core/cvroutes"
 	"comfreyvale/core/cvworkspace"
+	"comfreyvale/io/balancers/cvstopping"
 )
 
 // authenticationScheme names the API key in responses to requests without a valid one, as RFC 9110 requires.
@@ -71,9 +73,13 @@
 	return len(a) == len(b) && strings.Map(fold, strings.ToLower(a)) == strings.Map(fold, strings.ToLower(b))
 }
 
-// mayStillSend reports whether the exchange may send its request to an upstream now: a key may have been withdrawn while
-// the request waited. If not, it sets the cause and the reason.
+// mayStillSend reports whether the exchange may send its request to an upstream now: a key may have been withdrawn, or
+// the process begun to shut down, while the request waited. If not, it sets the cause and the reason.
 func (e *exchange) mayStillSend() bool {
+	if !e.node.shutdown.MaySend(time.Now(), e.deadline) {
+		e.cause, e.reason = comfreyvale.CauseShutdown, cvstopping.ErrLate.Error()
+		return false
+	}
 	if e.workspace == nil {
 		return true
 	}
--- a/io/balancers/cvnode/request.go
+++ b/io/balancers/cvnode/request.go
@@ -21,6 +21,7 @@
 	"comfreyvale/core/cvroute"
 	"comfreyvale/core/cvworkspace"
 	"comfreyvale/io/balancers/cvbodies"
+	"comfreyvale/io/balancers/cvstopping"
 	"comfreyvale/io/callers/cvheader"
 	"comfreyvale/io/callers/cvhttpserver"
 	"comfreyvale/io/upstreams/cvslots"
@@ -110,6 +111,11 @@
 		return refusal
 	}
 	deadline := arrived.Add(n.timeoutFor(request, route))
+	if !n.shutdown.MaySend(time.Now(), deadline) {
+		refusal := n.refuse(comfreyvale.CauseShutdown, id, cvstopping.ErrLate.Error(), minRetryAfter)
+		n.traceRefusal(ctx, request, id, route, refusal.Status())
+		return refusal
+	}
 	header := n.identifiedHeader(t, workspace, cvheader.EndToEnd(request.Header))
 	message := cvrequest.New(id, request.Method, request.RequestURI, request.Host, header, body...).
 		WithDeadline(deadline).WithNonIdempotent(!route.Idempotent())
@@ -234,14 +240,20 @@
 // finishCancelled ends a request whose time is up or whose caller left.
 func (e *exchange) finishCancelled(ctx context.Context) comfreyvale.Answer {
 	e.cause, e.reason = comfreyvale.CauseDeadline, "its time was up before it could be sent"
-	if errors.Is(context.Cause(ctx), cvhttpserver.ErrCallerDisconnected) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, cvhttpserver.ErrCallerDisconnected):
 		e.cause, e.reason = comfreyvale.CauseCallerGone, "its caller left before it could be sent"
+	case errors.Is(cause, cvstopping.ErrEnd):
+		e.cause, e.reason = comfreyvale.CauseShutdown, cause.Error()
 	}
 	return e.finalResponse()
 }
 
 func (e *exchange) finishWithoutSlot(err error) comfreyvale.Answer {
-	if !errors.Is(err, errMayNotSend) {
+	switch {
+	case errors.Is(err, cvstopping.ErrLate), errors.Is(err, cvstopping.ErrEnd):
+		e.cause, e.reason = comfreyvale.CauseShutdown, err.Error()
+	case !errors.Is(err, errMayNotSend):
 		e.reason, e.cause = err.Error(), slotCause(err)
 	}
 	return e.finalResponse()
--- a/io/callers/cvgateway/cvgateway.go
+++ b/io/callers/cvgateway/cvgateway.go
@@ -27,6 +27,7 @@
 	"comfreyvale/core/cvrefusal"
 	"comfreyvale/core/cvservice"
 	"comfreyvale/io/balancers/cvbodies"
+	"comfreyvale/io/balancers/cvstopping"
 	"comfreyvale/io/callers/cvheader"
 	"comfreyvale/io/callers/cvreply"
 	"comfreyvale/io/operators/cvmetrics"
@@ -53,6 +54,8 @@
 	// NewKeys returns new idempotency keys that only this balancer grants.
 	NewKeys func(count int) []string
 	Runner  *cvrunner.Runner
+	// Shutdown tells which calls are still sent and when all end. It may be nil.
+	Shutdown *cvstopping.Stopping
 	// Requests holds the bodies of requests. A request for which it has no room is refused.
 	Requests *cvbodies.Memory
 	// Claims grants idempotency keys.
@@ -139,6 +142,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	ctx, detach := e.gateway.Shutdown.RequestContext(ctx)
+	defer detach()
 	e.call = cvcall.New(e.id, service, class, deadline)
 	if refusal := e.readRequest(deadline); refusal != nil {
 		return refusal
@@ -146,6 +151,9 @@
 	if evidence, quarantined := e.gateway.Quarantined(time.Now(), e.call); quarantined {
 		return cvrefusal.New(comfreyvale.CauseQuarantined, comfreyvale.RanNo, evidence).WithSetting(service.Setting("quarantineTime"))
 	}
+	if !e.gateway.Shutdown.MaySend(time.Now(), deadline) {
+		return cvrefusal.New(comfreyvale.CauseShutdown, comfreyvale.RanNo, cvstopping.ErrLate.Error())
+	}
 	if e.call.Repeatable() {
 		return e.run(ctx)
 	}
--- a/io/callers/cvhttpserver/closing.go
+++ b/io/callers/cvhttpserver/closing.go
@@ -49,6 +49,15 @@
 	}
 }
 
+// endReceiving ends the wait for the rest of a request.
+func (c *connection) endReceiving() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.receiving {
+		c.conn.SetReadDeadline(time.Now())
+	}
+}
+
 // linger closes the write side, so that the caller can close the connection first. The connection stays open until
 // then, but at most for lingerTimeout.
 func (c *connection) linger() {
--- a/io/callers/cvhttpserver/cvhttpserver.go
+++ b/io/callers/cvhttpserver/cvhttpserver.go
@@ -101,6 +101,15 @@
 	}
 }
 
+// EndReceiving rejects the requests that have not arrived completely, with status 408.
+func (s *Server) EndReceiving() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.connections {
+		c.endReceiving()
+	}
+}
+
 // InFlight returns the number of requests in progress.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
--- a/io/operators/cvsettings/cvsettings.go
+++ b/io/operators/cvsettings/cvsettings.go
@@ -35,7 +35,7 @@
 	{Path: "requestMemory", Kind: cvfield.Size, Default: "256MiB", Min: "1MiB", Max: "64GiB", Effect: "Maximum bytes of request bodies that are held at a time. One caller's may take half of it, those above 256 KiB three quarters. Further requests are refused."},
 	{Path: "replayMemory", Kind: cvfield.Size, Default: "16MiB", Min: "1MiB", Max: "4GiB", Effect: "Maximum bytes of answers that are kept to be replayed for repeated idempotency keys."},
 	{Path: "stop.lag", Kind: cvfield.Duration, Default: "5s", Min: "0s", Max: "5m", Effect: "Time after the stop signal in which new calls are still accepted, because the platform's balancer sends them until it notices the stop."},
-	{Path: "stop.limit", Kind: cvfield.Duration, Default: "1m", Min: "1s", Max: "1h", Effect: "Time after the lag in which in-flight calls may finish. Calls that remain are cut, counted and logged."},
+	{Path: "stop.limit", Kind: cvfield.Duration, Default: "1m", Min: "1s", Max: "1h", Effect: "Time after the lag in which in-flight calls may finish. 0.2 s before its end, calls that remain are answered; the connections of those that are left are closed, counted and logged. After half of the lag and this time together, calls whose timeout ends later are refused."},
 	{Path: "tls.certificate", Kind: cvfield.Text, Default: "", Effect: "PEM file with the certificate for callers. Without it, callers use plain HTTP."},
 	{Path: "tls.key", Kind: cvfield.Text, Default: "", Effect: "PEM file with the private key of the certificate for callers."},
 	{Path: "peerTls.certificate", Kind: cvfield.Text, Default: "", Effect: "PEM file with this VM's certificate for the other balancers. Without it, the links to them are not encrypted."},
--- a/io/upstreams/cvrunner/attempt.go
+++ b/io/upstreams/cvrunner/attempt.go
@@ -20,6 +20,7 @@
 	"comfreyvale/core/cvfault"
 	"comfreyvale/core/cvticket"
 	"comfreyvale/io/balancers/cvpause"
+	"comfreyvale/io/balancers/cvstopping"
 	"comfreyvale/io/callers/cvheader"
 	"comfreyvale/io/callers/cvreply"
 )
@@ -93,7 +94,7 @@
 		a.isolate(time.Now())
 	}
 	queued, span := a.execution.runner.Tracer.Start(ctx, "queue")
-	ticket, err := a.execution.dispatcher.Acquire(queued, call.Class(), a.avoid, call.Deadline())
+	ticket, err := a.awaitSlot(queued)
 	span.End()
 	if err != nil {
 		a.end(noSlot, err)
@@ -106,6 +107,24 @@
 	a.exchange(ctx, ticket, vm)
 }
 
+// awaitSlot waits for a slot as long as the call may still be sent.
+func (a *attempt) awaitSlot(ctx context.Context) (*cvticket.Ticket, error) {
+	call, shutdown := a.execution.call, a.execution.runner.Shutdown
+	waiting, cancel := shutdown.WaitContext(ctx, call.Deadline())
+	defer cancel()
+	ticket, err := a.execution.dispatcher.Acquire(waiting, call.Class(), a.avoid, call.Deadline())
+	switch {
+	case err != nil && errors.Is(context.Cause(waiting), cvstopping.ErrLate):
+		return nil, cvstopping.ErrLate
+	case err != nil:
+		return nil, err
+	case !shutdown.MaySend(time.Now(), call.Deadline()):
+		a.execution.dispatcher.Release(ticket, comfreyvale.NewOutcome(comfreyvale.ResultCancelled, 0))
+		return nil, cvstopping.ErrLate
+	}
+	return ticket, nil
+}
+
 // isolate restricts the attempt of a suspected call to the upstream that AssignUpstream returns, if any.
 func (a *attempt) isolate(now time.Time) {
 	if a.execution.runner.AssignUpstream == nil {
@@ -307,6 +326,9 @@
 }
 
 func slotCause(err error) comfreyvale.Cause {
+	if errors.Is(err, cvstopping.ErrLate) {
+		return comfreyvale.CauseShutdown
+	}
 	switch cvfault.KindOf(err) {
 	case comfreyvale.KindNotFound:
 		return comfreyvale.CauseNoUpstream
@@ -329,6 +351,8 @@
 		return "group"
 	case comfreyvale.CauseQueueFull:
 		return "queue"
+	case comfreyvale.CauseShutdown:
+		return ""
 	}
 	return "slots"
 }
--- a/io/upstreams/cvrunner/cvrunner.go
+++ b/io/upstreams/cvrunner/cvrunner.go
@@ -5,12 +5,14 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sync/semaphore"
 
 	"comfreyvale"
 	"comfreyvale/core/cvcall"
 	"comfreyvale/core/cvrefusal"
+	"comfreyvale/io/balancers/cvstopping"
 	"comfreyvale/io/callers/cvreply"
 	"comfreyvale/io/upstreams/cvdispatcher"
 )
@@ -34,6 +36,8 @@
 	// AssignUpstream returns which of the upstreams runs the next attempt of a suspected call, or an empty string if
 	// any may. If it is nil, the picker chooses the upstream.
 	AssignUpstream func(call *cvcall.Call, upstreams []string) string
+	// Shutdown tells which calls are still sent. It may be nil.
+	Shutdown *cvstopping.Stopping
 }
 
 type execution struct {
@@ -193,6 +197,9 @@
 
 func (e *execution) refusal(ctx context.Context) *cvrefusal.Refusal {
 	service := e.call.Service()
+	if cause := context.Cause(ctx); errors.Is(cause, cvstopping.ErrEnd) {
+		return cvrefusal.New(comfreyvale.CauseShutdown, e.ran, cause.Error()).WithUpstream(e.lastAttempt.upstream)
+	}
 	if ctx.Err() == context.Canceled {
 		return cvrefusal.New(comfreyvale.CauseCallerGone, e.ran, "the caller closed the connection").WithUpstream(e.lastAttempt.upstream)
 	}
--- a/recorder.go
+++ b/recorder.go
@@ -51,6 +51,7 @@
 	CauseAPIKeyUnknown    Cause = "apiKeyUnknown"
 	CauseAPIKeyWithdrawn  Cause = "apiKeyWithdrawn"
 	CauseUnconfirmed      Cause = "configurationUnconfirmed"
+	CauseShutdown         Cause = "shutdown"
 )
 
 // Ran is what the balancer knows about whether an upstream ran a request.
--- a/soak/endless_test.go
+++ b/soak/endless_test.go
@@ -95,15 +95,17 @@
 	return paths, endless, long
 }
 
-// publishEndless publishes a configuration with routes to the groups of startEndless.
-func (cl *cluster) publishEndless() {
+// newRoute returns a route to one group for requests that may run once.
+func newRoute(prefix, group string, timeout time.Duration) *cvroute.Route {
+	return cvroute.New(group, "h", prefix, cvsplit.New(group, 1)).WithTimes(timeout, timeout).WithMaxAttempts(1)
+}
+
+// publishRoutes publishes the next configuration version with other routes.
+func (cl *cluster) publishRoutes(routes ...*cvroute.Route) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	cl.version++
-	route := func(prefix, group string) *cvroute.Route {
-		return cvroute.New(group, "h", prefix, cvsplit.New(group, 1)).WithTimes(requestTimeout, requestTimeout).WithMaxAttempts(1)
-	}
-	value, err := cvtopicserver.EncodeConfiguration(cl.version, 10*time.Second, route("/safe/", groups[0]).WithIdempotent(false), route("/bad/", "bad"), route("/long/", "long"))
+	value, err := cvtopicserver.EncodeConfiguration(cl.version, 10*time.Second, routes...)
 	require.NoError(cl.t, err)
 	cl.store.Put(cvformat.ConfigurationTopic, cvformat.ConfigurationKey, value)
 }
@@ -130,7 +132,7 @@
 	cl := newCluster(t, 1, subnet)
 	b, p := cl.startSmall(len(cl.balancers), subnet, cl.storeProxies[0].target)
 	paths, endless, long := cl.startEndless()
-	cl.publishEndless()
+	cl.publishRoutes(newRoute("/safe/", groups[0], requestTimeout).WithIdempotent(false), newRoute("/bad/", "bad", requestTimeout), newRoute("/long/", "long", requestTimeout))
 	cl.await("the small balancer is ready", b.isReady)
 	cl.await("sound requests are served", func() bool { return b.getStatus("/safe/x", "sound") == http.StatusOK })
 	var callers sync.WaitGroup
