--- a/io/balancers/cvbalancer/early_test.go
+++ b/io/balancers/cvbalancer/early_test.go
@@ -62,6 +62,11 @@
 							require.NotEmpty(t, c.whole)
 						}
 					}
+					if c.whole != "" {
+						// The connection is kept behind a whole response, and may be used again before its reset is seen.
+						require.Greater(t, server.Received(), before)
+						return
+					}
 					// The client itself sends lookups again whose connection broke.
 					require.GreaterOrEqual(t, server.Received()-before, int64(repetitions))
 				})
