--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -17,9 +17,10 @@
 )
 
 var cases = map[string]func(s *system, r *recorder, trouble bool) (int, error){
-	"routes": routes,
-	"stop":   stop,
-	"early":  early,
+	"routes":    routes,
+	"stop":      stop,
+	"rejection": rejection,
+	"failure":   failure,
 }
 
 func main() {
--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -22,6 +22,8 @@
 type serverConn struct {
 	net.Conn
 	reader *bufio.Reader
+	// late is what the server sends before its next answer.
+	late string
 }
 
 func (s *server) accept(listener net.Listener) {
@@ -30,7 +32,7 @@
 		if err != nil {
 			return
 		}
-		go s.serve(&serverConn{conn, bufio.NewReaderSize(conn, 4096)})
+		go s.serve(&serverConn{Conn: conn, reader: bufio.NewReaderSize(conn, 4096)})
 	}
 }
 
